--- /dev/null
+++ b/src/dapplewick/api.py
@@ -0,0 +1,187 @@
+"""The users' interface: submit, poll, abort."""
+
+from __future__ import annotations
+
+import logging
+from collections.abc import Awaitable, Callable
+from typing import Protocol
+
+import msgspec
+
+from dapplewick.config import Deployment
+from dapplewick.protocol.wire import JobSpec, Malformed, job_view, parse_submission
+from dapplewick.storage.client import Conflict, Refused, StateClient, Unknown
+from dapplewick.storage.records import CANCELLED, DONE, JOBS, JobRecord, Mirror
+from dapplewick.transport.http import Answer, Request
+from dapplewick.types import JobId, Seconds
+
+log = logging.getLogger("dapplewick.api")
+
+PATH = "/v2/runs"
+TRIES = 4
+RETRY = 1
+
+UNAVAILABLE = Answer(503, b'{"error":"not available now"}', RETRY)
+NOT_FOUND = Answer(404, b'{"error":"no such job"}')
+NO_PATH = Answer(404, b'{"error":"no such path"}')
+NO_METHOD = Answer(405, b'{"error":"method not allowed"}')
+
+
+class World(Protocol):
+    """What the interface needs of its controller."""
+
+    mirror: Mirror
+    state: StateClient
+    ready: bool
+
+    def wall(self) -> Seconds: ...
+
+    async def current(self) -> None: ...
+
+    def stored(self, key: str, value: object, version: int) -> None: ...
+
+    def running_tasks(self, job: JobId) -> int: ...
+
+
+def error(status: int, reason: str) -> Answer:
+    return Answer(status, msgspec.json.encode({"error": reason}))
+
+
+class Api:
+    """Answers users. Nothing is promised before it is stored."""
+
+    def __init__(self, world: World, deployment: Deployment) -> None:
+        self.world = world
+        self.deployment = deployment
+        self.teams = {t.name: t for t in deployment.teams}
+
+    async def handle(self, request: Request) -> Answer | None:
+        """Answer a request under our path; None if it is another's."""
+        path = request.target.partition("?")[0]
+        if path == PATH:
+            if request.method != "POST":
+                return NO_METHOD
+            return await self._guard(lambda: self.submit(request))
+        if not path.startswith(PATH + "/"):
+            return None
+        job, slash, verb = path[len(PATH) + 1 :].partition("/")
+        if not slash:
+            if request.method != "GET":
+                return NO_METHOD
+            return await self._guard(lambda: self.poll(JobId(job)))
+        if verb != "abort":
+            return NO_PATH
+        if request.method != "POST":
+            return NO_METHOD
+        return await self._guard(lambda: self.abort(JobId(job)))
+
+    async def _guard(self, call: Callable[[], Awaitable[Answer]]) -> Answer:
+        if not self.world.ready:
+            return UNAVAILABLE
+        try:
+            return await call()
+        except (Refused, Unknown) as err:
+            log.debug("event=unavailable reason=%s", err)
+            return UNAVAILABLE
+
+    def _why_never(self, spec: JobSpec) -> str | None:
+        """Why a job can never run, if so."""
+        team = self.teams.get(spec.team)
+        if team is None:
+            return "unknown team"
+        if spec.zone is not None and spec.zone not in self.deployment.zones:
+            return "unknown zone"
+        names = spec.types if spec.types is not None else list(self.world.mirror.types)
+        types = [t for name in names if (t := self.world.mirror.types.get(name)) is not None]
+        if not any(spec.size.fits(t.size) for t in types):
+            return "a task fits no allowed machine type"
+        together = spec.tasks if spec.gang else 1
+        for limit, each in ((team.cpus_max, spec.cpus), (team.gpus_max, spec.gpus)):
+            if limit > 0 and each * together > limit + 1e-6:
+                return "more than the team's limit"
+        return None
+
+    async def submit(self, request: Request) -> Answer:
+        if request.too_large:
+            return error(400, "body over 64 KiB")
+        try:
+            job_id, spec = parse_submission(request.body)
+        except Malformed as err:
+            return error(400, str(err))
+        mirror = self.world.mirror
+        if job_id in mirror.jobs:
+            return await self.poll(job_id)
+        if not mirror.types:
+            return UNAVAILABLE
+        reason = self._why_never(spec)
+        if reason is not None:
+            return error(422, reason)
+        if spec.types is not None:
+            known = sorted({t for t in spec.types if t in mirror.types})
+            spec = msgspec.structs.replace(spec, types=known)
+        value = JobRecord(spec, self.world.wall()).dump()
+        key = JOBS + job_id
+        try:
+            version = await self.world.state.txn({key: 0}, {key: value})
+        except Conflict:
+            return await self.poll(job_id)
+        except Unknown:
+            # The answer was lost: what is stored tells. If nothing is, the write may still
+            # come late, and then the user's retry finds the job known.
+            found, version = await self.world.state.get(key)
+            if not version:
+                return UNAVAILABLE
+            value = found
+        self.world.stored(key, value, version)
+        log.info("event=accepted job=%s tasks=%d", job_id, spec.tasks)
+        return Answer(201, job_view(job_id, "queued"))
+
+    def _final(self, job_id: JobId) -> Answer | None:
+        job = self.world.mirror.jobs.get(job_id)
+        if job is None or job.open:
+            return None
+        stage = "done" if job.stage == DONE else "withdrawn"
+        return Answer(200, job_view(job_id, stage, job.done_count, 0))
+
+    async def poll(self, job_id: JobId) -> Answer:
+        final = self._final(job_id)
+        if final is not None:
+            return final
+        # What is not final may have changed elsewhere: no older answer than another node's.
+        await self.world.current()
+        final = self._final(job_id)
+        if final is not None:
+            return final
+        job = self.world.mirror.jobs.get(job_id)
+        if job is None:
+            return NOT_FOUND
+        running = self.world.running_tasks(job_id)
+        stage = "running" if running else "queued"
+        return Answer(200, job_view(job_id, stage, job.done_count, running))
+
+    async def abort(self, job_id: JobId) -> Answer:
+        key = JOBS + job_id
+        for _ in range(TRIES):
+            await self.world.current()
+            job = self.world.mirror.jobs.get(job_id)
+            if job is None:
+                return NOT_FOUND
+            if not job.open:
+                stage = "done" if job.stage == DONE else "withdrawn"
+                return Answer(200, job_view(job_id, stage))
+            cancelled = JobRecord(job.spec, job.at)
+            cancelled.stage = CANCELLED
+            cancelled.grants = job.grants
+            cancelled.gang = job.gang
+            value = cancelled.dump()
+            try:
+                version = await self.world.state.txn({key: job.version}, {key: value})
+            except Conflict:
+                continue
+            except Unknown:
+                # Read back in the next round; a late write fails or does the same.
+                continue
+            self.world.stored(key, value, version)
+            log.info("event=cancelled job=%s", job_id)
+            return Answer(200, job_view(job_id, "withdrawn"))
+        return UNAVAILABLE
--- /dev/null
+++ b/src/dapplewick/config.py
@@ -0,0 +1,130 @@
+"""The settings file that the platform hands over."""
+
+from __future__ import annotations
+
+from pathlib import Path
+
+import msgspec
+
+
+class SettingsError(Exception):
+    """The settings can't be used; the text names the field."""
+
+
+class Peer(msgspec.Struct):
+    host_name: str
+    zone: str
+    peer_addr: str
+
+
+class Outside(msgspec.Struct):
+    cloud: str
+    state: str
+
+
+class Team(msgspec.Struct):
+    name: str
+    cpus: float = 0.0
+    cpus_max: float = 0.0
+    gpus: float = 0.0
+    gpus_max: float = 0.0
+
+
+class Objective(msgspec.Struct):
+    kind: str
+    class_: str | None = msgspec.field(default=None, name="class")
+    within_s: float | None = None
+    share: float = 0.0
+    times: float = 1.0
+
+
+class WorkerTimes(msgspec.Struct):
+    report_s: float
+    lease_s: float
+    gang_wait_s: float
+    gang_peer_s: float
+    cancel_s: float
+
+
+class StateLimits(msgspec.Struct):
+    rps: float
+    write_rps: float
+    value_kb: float
+    txn_ops: int
+
+
+class CloudLimits(msgspec.Struct):
+    rps: float
+    list_lag_s: float
+
+
+class Deployment(msgspec.Struct):
+    count: int
+    zones: list[str]
+    teams: list[Team]
+    workers: WorkerTimes
+    state: StateLimits
+    cloud: CloudLimits
+    objectives: list[Objective] = []
+    time_bound_ms: float = 0.0
+
+
+class Settings(msgspec.Struct):
+    host_name: str
+    zone: str
+    client_listen: str
+    peer_listen: str
+    peers: list[Peer]
+    outside: Outside
+    deployment: Deployment
+
+
+def host_port(text: str, field: str) -> tuple[str, int]:
+    """Split an address, or say which field holds a bad one."""
+    host, colon, port = text.rpartition(":")
+    if not colon or not host or not port.isdigit() or not 0 < int(port) < 65536:
+        raise SettingsError(f"{field}: not an address of the form host:port: {text!r}")
+    return host, int(port)
+
+
+def parse(data: bytes) -> Settings:
+    """Check the settings; unknown fields are ignored."""
+    try:
+        settings = msgspec.json.decode(data, type=Settings)
+    except msgspec.ValidationError as err:
+        raise SettingsError(str(err)) from None
+    except msgspec.DecodeError as err:
+        raise SettingsError(f"not valid JSON: {err}") from None
+    host_port(settings.client_listen, "client_listen")
+    host_port(settings.peer_listen, "peer_listen")
+    host_port(settings.outside.cloud, "outside.cloud")
+    host_port(settings.outside.state, "outside.state")
+    for i, peer in enumerate(settings.peers):
+        host_port(peer.peer_addr, f"peers[{i}].peer_addr")
+    deployment = settings.deployment
+    if not deployment.zones:
+        raise SettingsError("deployment.zones: no zone is named")
+    positive = {
+        "deployment.count": deployment.count,
+        "deployment.workers.report_s": deployment.workers.report_s,
+        "deployment.workers.lease_s": deployment.workers.lease_s,
+        "deployment.workers.cancel_s": deployment.workers.cancel_s,
+        "deployment.state.rps": deployment.state.rps,
+        "deployment.state.write_rps": deployment.state.write_rps,
+        "deployment.state.value_kb": deployment.state.value_kb,
+        "deployment.state.txn_ops": deployment.state.txn_ops,
+        "deployment.cloud.rps": deployment.cloud.rps,
+    }
+    for field, value in positive.items():
+        if not 0 < value < float("inf"):
+            raise SettingsError(f"{field}: must be a positive number, not {value}")
+    return settings
+
+
+def load(path: str) -> Settings:
+    """Read and check a settings file."""
+    try:
+        data = Path(path).read_bytes()
+    except OSError as err:
+        raise SettingsError(f"{path}: {err.strerror}") from None
+    return parse(data)
--- /dev/null
+++ b/src/dapplewick/core/fleet.py
@@ -0,0 +1,148 @@
+"""What to rent and what to return."""
+
+from __future__ import annotations
+
+import logging
+import math
+import random
+from typing import NamedTuple
+
+from dapplewick.core.model import View, fit_all
+from dapplewick.protocol.wire import JobSpec, MachineType
+from dapplewick.storage.records import BookingRecord, Mirror
+from dapplewick.types import MachineId, Seconds, TypeName, Zone
+
+log = logging.getLogger("dapplewick.fleet")
+
+REFUSED_S = 20.0  # how long "no capacity" is believed
+IDLE_S = 45.0  # an idle machine is kept this long
+BOOT_TIMES = 4.0  # a machine that takes longer than this times its usual boot is given up
+BOOT_LEAST_S = 60.0
+MOST_AT_ONCE = 6  # machines rented in one pass
+
+
+class Need(NamedTuple):
+    """Tasks for which there is no room: `count` of them want to run at the same time."""
+
+    spec: JobSpec
+    count: int
+    together: bool
+
+
+class Offer(NamedTuple):
+    type: MachineType
+    zone: str
+    spot: bool
+    price: float
+
+
+class Fleet:
+    """Decides on machines; it neither writes nor calls."""
+
+    def __init__(self, mirror: Mirror, zones: list[str], seed: int) -> None:
+        self.mirror = mirror
+        self.zones = zones
+        self.random = random.Random(seed)
+        self.prices: dict[str, MachineType] = {}
+        self.refused: dict[tuple[str, str, bool], Seconds] = {}
+
+    def catalog(self, types: list[MachineType]) -> None:
+        self.prices = {t.name: t for t in types}
+
+    def no_capacity(self, now: Seconds, booking: BookingRecord) -> None:
+        self.refused[(booking.type, booking.zone, booking.spot)] = now
+
+    def coming(self) -> list[View]:
+        """Machines that are rented or asked for and not yet up, as empty rooms."""
+        views = []
+        for machine_id, record in self.mirror.machines.items():
+            kind = self.mirror.types.get(record.type)
+            if kind is not None and not record.up and not record.doomed:
+                views.append(self._empty(machine_id, kind, record.zone, record.spot))
+        for name, booking in self.mirror.bookings.items():
+            kind = self.mirror.types.get(booking.type)
+            if kind is not None:
+                for n in range(booking.count):
+                    views.append(
+                        self._empty(f"{name}#{n}", kind, booking.zone, booking.spot)
+                    )
+        return views
+
+    def _empty(self, name: str, kind: MachineType, zone: str, spot: bool) -> View:
+        return View(
+            MachineId(name), TypeName(kind.name), Zone(zone), spot, kind.size, kind.size, [], 0
+        )
+
+    def _offers(self, now: Seconds, spec: JobSpec) -> list[Offer]:
+        offers = []
+        for kind in (self.prices or self.mirror.types).values():
+            if spec.types is not None and kind.name not in spec.types:
+                continue
+            if not spec.size.fits(kind.size):
+                continue
+            for zone in kind.zones or self.zones:
+                if zone not in self.zones or (spec.zone is not None and spec.zone != zone):
+                    continue
+                for spot in (True, False) if spec.spot else (False,):
+                    asked = self.refused.get((kind.name, zone, spot))
+                    if asked is None or now - asked > REFUSED_S:
+                        price = kind.spot_price if spot else kind.price
+                        offers.append(Offer(kind, zone, spot, price))
+        return offers
+
+    def rent(self, now: Seconds, needs: list[Need]) -> list[BookingRecord]:
+        """What to ask for, beyond what is already coming."""
+        coming = self.coming()
+        asked: dict[tuple[str, str, bool], int] = {}
+        total = 0
+        for need in needs:
+            left = need.count
+            placed = fit_all(coming, need.spec, left)
+            if placed is not None:
+                for view in placed:
+                    view.take(need.spec.size)
+                continue
+            for view in coming:
+                if view.allows(need.spec):
+                    while left > 0 and need.spec.size.fits(view.free):
+                        view.take(need.spec.size)
+                        left -= 1
+            while left > 0 and total < MOST_AT_ONCE:
+                offer = self._best(now, need.spec, left, asked)
+                if offer is None:
+                    break
+                key = (offer.type.name, offer.zone, offer.spot)
+                asked[key] = asked.get(key, 0) + 1
+                total += 1
+                view = self._empty(f"new#{total}", offer.type, offer.zone, offer.spot)
+                while left > 0 and need.spec.size.fits(view.free):
+                    view.take(need.spec.size)
+                    left -= 1
+                coming.append(view)
+        return [
+            BookingRecord(type=kind, zone=zone, spot=spot, count=count, at=now)
+            for (kind, zone, spot), count in asked.items()
+        ]
+
+    def _best(
+        self, now: Seconds, spec: JobSpec, count: int, asked: dict[tuple[str, str, bool], int]
+    ) -> Offer | None:
+        """The offer with the lowest price for each task it would run now."""
+        best: tuple[float, float, Offer] | None = None
+        for offer in self._offers(now, spec):
+            slots = min(count, spec.size.times_in(offer.type.size))
+            # Machines of one kind and zone are few: ask for some elsewhere too.
+            crowd = asked.get((offer.type.name, offer.zone, offer.spot), 0)
+            key = (offer.price / slots * (1.0 + 0.1 * crowd), self.random.random())
+            if best is None or key < best[:2]:
+                best = (*key, offer)
+        return best[2] if best is not None else None
+
+    def boot_limit(self, type_: str) -> Seconds:
+        kind = self.mirror.types.get(type_)
+        return max(BOOT_LEAST_S, BOOT_TIMES * (kind.boot if kind is not None else 60.0))
+
+
+def wanted_slots(work: Seconds, running: int, horizon: Seconds) -> int:
+    """How many more slots finish this work within the horizon."""
+    return max(0, math.ceil(work / max(1.0, horizon)) - running)
--- /dev/null
+++ b/src/dapplewick/core/model.py
@@ -0,0 +1,142 @@
+"""The leader's picture of the parts' rooms, from their statuses and what they have not seen."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+from typing import Any
+
+from dapplewick.protocol.wire import JobSpec
+from dapplewick.types import MachineId, Seconds, Size, TypeName, Zone
+
+
+class View:
+    """One machine as the leader plans with it."""
+
+    __slots__ = ("capacity", "ends", "free", "id", "queued", "spot", "type", "zone")
+
+    def __init__(
+        self,
+        machine: MachineId,
+        type_: TypeName,
+        zone: Zone,
+        spot: bool,
+        capacity: Size,
+        free: Size,
+        ends: list[tuple[Seconds, Size, int]],
+        queued: int,
+    ) -> None:
+        self.id = machine
+        self.type = type_
+        self.zone = zone
+        self.spot = spot
+        self.capacity = capacity
+        self.free = free
+        self.ends = ends
+        self.queued = queued
+
+    def allows(self, spec: JobSpec) -> bool:
+        return (
+            (spec.types is None or self.type in spec.types)
+            and (spec.spot or not self.spot)
+            and (spec.zone is None or spec.zone == self.zone)
+        )
+
+    def room_in(self, size: Size, rank: int) -> tuple[Seconds, Seconds] | None:
+        """When the singles here will have made room: by themselves, and with those below a
+        rank stopped. None if they never do."""
+        room = self.free
+        if size.fits(room):
+            return 0.0, 0.0
+        natural = stopped = -1.0
+        forced = self.free
+        for left, taken, other in self.ends:
+            room = room.plus(taken)
+            if other < rank:
+                forced = forced.plus(taken)
+            if natural < 0.0 and size.fits(room):
+                natural = left
+        if natural < 0.0:
+            return None
+        stopped = 0.0 if size.fits(forced) else natural
+        return natural, stopped
+
+    def take(self, size: Size) -> None:
+        self.free = self.free.minus(size)
+
+
+def spare_key(view: View, spec: JobSpec) -> tuple[float, float, float]:
+    """Prefers rooms without accelerators that are not needed, then the tightest."""
+    return (
+        view.capacity.gpus if spec.gpus == 0 else 0.0,
+        view.free.cpus,
+        view.free.ram,
+    )
+
+
+def fit_all(views: Iterable[View], spec: JobSpec, count: int) -> list[View] | None:
+    """Machines for `count` tasks in idle room, or None; takes nothing yet."""
+    able = sorted(
+        (v for v in views if v.allows(spec) and spec.size.fits(v.free)),
+        key=lambda v: spare_key(v, spec),
+    )
+    chosen: list[View] = []
+    for view in able:
+        chosen.extend([view] * min(count - len(chosen), spec.size.times_in(view.free)))
+        if len(chosen) == count:
+            return chosen
+    return None
+
+
+def fit_held(
+    views: Iterable[View], spec: JobSpec, count: int, patience: Seconds
+) -> tuple[list[View], bool] | None:
+    """Slots to hold for `count` tasks until they are idle, and whether to stop work of lower
+    priority for them because waiting would take longer than `patience`."""
+    options: list[tuple[Seconds, tuple[float, float, float], int, View]] = []
+    natural_of: dict[MachineId, Seconds] = {}
+    for n, view in enumerate(views):
+        if not view.allows(spec):
+            continue
+        times = view.room_in(spec.size, spec.rank)
+        if times is None:
+            continue
+        natural, forced = times
+        natural_of[view.id] = natural
+        wait = natural if natural <= patience else max(forced, patience)
+        options.append((wait + view.queued, spare_key(view, spec), n, view))
+    options.sort(key=lambda o: o[:3])
+    chosen: list[View] = []
+    preempt = False
+    for _, _, _, view in options:
+        saved = view.free
+        while len(chosen) < count:
+            times = view.room_in(spec.size, spec.rank)
+            if times is None:
+                break
+            if times[0] > patience and times[1] < times[0]:
+                preempt = True
+            view.take(spec.size)
+            chosen.append(view)
+        view.free = saved
+        if len(chosen) == count:
+            return chosen, preempt
+    return None
+
+
+def view_of(
+    machine: MachineId, type_: str, zone: str, spot: bool, capacity: Size, status: dict[str, Any]
+) -> View:
+    ends = [
+        (float(left), Size(cpus, gpus, ram), int(rank))
+        for left, cpus, gpus, ram, rank in status["ends"]
+    ]
+    return View(
+        machine,
+        TypeName(type_),
+        Zone(zone),
+        spot,
+        capacity,
+        Size(*status["free"]),
+        ends,
+        int(status["queued"]),
+    )
--- /dev/null
+++ b/src/dapplewick/node.py
@@ -0,0 +1,618 @@
+"""A controller: it joins transport, storage and coordination to the cores."""
+
+from __future__ import annotations
+
+import logging
+import random
+import time
+from typing import Any
+
+import anyio
+import anyio.abc
+
+from dapplewick.api import NO_METHOD, NO_PATH, Api
+from dapplewick.config import Settings, host_port
+from dapplewick.coordination.parts import PartAssigner
+from dapplewick.core.estimates import Estimates
+from dapplewick.core.leader import Change, LeaderCore
+from dapplewick.core.part import PartCore
+from dapplewick.protocol import wire
+from dapplewick.storage.client import (
+    Budget,
+    Conflict,
+    NoLease,
+    Refused,
+    StateClient,
+    TooOld,
+    Unknown,
+)
+from dapplewick.storage.records import (
+    JOBS,
+    LEADER,
+    MACHINES,
+    NODES,
+    PARTS,
+    ROOT,
+    LeaderRecord,
+    Mirror,
+    NodeRecord,
+)
+from dapplewick.transport.http import Answer, HttpClient, HttpError, Request, serve_connection
+from dapplewick.transport.peer import PeerLink, receive_frames
+from dapplewick.types import JobId, MachineId, NodeName, Seconds, Token, Zone
+
+log = logging.getLogger("dapplewick.node")
+
+TTL_S = 5.0
+RENEW_S = 1.3
+WATCH_MS = 4000
+CURRENT_S = 9.0  # with records older than this, nothing is launched
+MARGIN_S = 3.0
+PASS_S = 0.15
+STATUS_GAP_S = 0.2
+STATUS_IDLE_S = 1.5
+GOSSIP_S = 1.0
+CATALOG_S = 45.0
+LIST_S = 10.0
+CLOUD_CALL_S = 6.0
+SHARE = 0.9  # of the state service's limits that all controllers use together
+LEADER_WRITES = 0.6
+
+
+class Check:
+    """One look whether the mirror is current, shared by all who wait for it."""
+
+    def __init__(self) -> None:
+        self.over = anyio.Event()
+        self.error: Exception | None = None
+
+
+class Node:
+    """One controller process."""
+
+    def __init__(self, settings: Settings) -> None:
+        self.settings = settings
+        self.me = NodeName(settings.host_name)
+        self.boot = f"{time.time_ns():x}-{random.getrandbits(32):x}"
+        deployment = settings.deployment
+        host, port = host_port(settings.outside.state, "outside.state")
+        rps = deployment.state.rps * SHARE / deployment.count
+        writes = deployment.state.write_rps * SHARE
+        self._few_writes = writes * (1 - LEADER_WRITES) / max(1, deployment.count - 1)
+        self._many_writes = writes * LEADER_WRITES
+        self.state = StateClient(host, port, rps, self._few_writes)
+        self._check_gap = 1.0 / (0.4 * rps)
+        host, port = host_port(settings.outside.cloud, "outside.cloud")
+        self.cloud = HttpClient(host, port)
+        self.cloud_budget = Budget(deployment.cloud.rps * 0.8)
+        self.mirror = Mirror()
+        self.mirror.listeners.append(self._on_key)
+        self._changed: list[str] = []
+        self.ready = False
+        self.current_at = -1e9
+        self.contact_at = -1e9
+        self.lease: int | None = None
+        self.lease_until = -1e9
+        self.cores: dict[Zone, PartCore] = {}
+        self.estimates = Estimates()
+        self.leader: LeaderCore | None = None
+        self.assigner = PartAssigner(self.mirror, deployment.zones, self.me)
+        self.api = Api(self, deployment)
+        self.links: dict[NodeName, PeerLink] = {}
+        for peer in settings.peers:
+            self.links[NodeName(peer.host_name)] = PeerLink(
+                *host_port(peer.peer_addr, "peers.peer_addr")
+            )
+        self._peer_state: dict[NodeName, tuple[Seconds, bool]] = {}
+        self._heard_parts: dict[Zone, tuple[Token, NodeName]] = {}
+        self._running: dict[NodeName, dict[JobId, int]] = {}
+        self._next_check: Check | None = None
+        self._check_wake = anyio.Event()
+        self._leader_wake = anyio.Event()
+        self._status_at: dict[Zone, Seconds] = {}
+        self._renting: set[str] = set()
+        self._deleting: set[MachineId] = set()
+
+    # Time
+
+    @staticmethod
+    def now() -> Seconds:
+        return time.monotonic()
+
+    @staticmethod
+    def wall() -> Seconds:
+        return time.time()
+
+    def lease_valid(self) -> bool:
+        return self.now() < self.lease_until
+
+    # The mirror
+
+    def _on_key(self, key: str) -> None:
+        self._changed.append(key)
+
+    def _apply_changed(self) -> None:
+        """Tell the cores of changed records; parts first: who owns them decides the rest."""
+        if not self._changed:
+            return
+        keys, self._changed = dict.fromkeys(self._changed), []
+        now = self.now()
+        if any(k.startswith(PARTS) for k in keys):
+            self._check_parts(now)
+        for core in self.cores.values():
+            for key in keys:
+                if key.startswith(JOBS):
+                    core.job_changed(now, JobId(key[len(JOBS) :]))
+                elif key.startswith(MACHINES):
+                    core.machine_changed(now, MachineId(key[len(MACHINES) :]))
+        self._leader_wake.set()
+
+    def _check_parts(self, now: Seconds) -> None:
+        for zone in [Zone(z) for z in self.settings.deployment.zones]:
+            part = self.mirror.parts.get(zone)
+            token = Token(self.mirror.version(PARTS + zone))
+            mine = part is not None and part.owner == self.me and part.boot == self.boot
+            core = self.cores.get(zone)
+            if core is not None and (not mine or core.token != token):
+                del self.cores[zone]
+                log.info("event=part_lost zone=%s token=%d", zone, core.token)
+            if mine and (core is None or core.token != token):
+                self.cores[zone] = PartCore(
+                    zone, token, self.mirror, self.estimates, now,
+                    lease_s=self.settings.deployment.workers.lease_s,
+                )  # fmt: skip
+                log.info("event=part_owned zone=%s token=%d", zone, token)
+
+    def stored(self, key: str, value: object, version: int) -> None:
+        """A write of our own is known done."""
+        self.mirror.put(key, value, version)
+        self._apply_changed()
+
+    async def _load(self) -> None:
+        sent = self.now()
+        items, revision = await self.state.list(ROOT)
+        self.mirror.reload(items, revision)
+        self.current_at = self.contact_at = sent
+        self._apply_changed()
+        if not self.ready:
+            self.ready = True
+            log.info("event=ready node=%s revision=%d", self.me, revision)
+
+    async def _follow(self, wait_ms: int) -> None:
+        """Bring the mirror up to the newest changes."""
+        sent = self.now()
+        try:
+            changes = await self.state.changes(ROOT, self.mirror.revision, wait_ms)
+        except TooOld:
+            await self._load()
+            return
+        for event in changes.events:
+            if event.put is not None:
+                self.mirror.put(event.put, event.value, event.version)
+            elif event.delete is not None:
+                self.mirror.remove(event.delete, event.version)
+        if changes.revision > self.mirror.revision:
+            self.mirror.revision = type(self.mirror.revision)(changes.revision)
+        self.current_at = max(self.current_at, sent)
+        self.contact_at = self.now()
+        self._apply_changed()
+
+    async def _watch_loop(self) -> None:
+        while True:
+            try:
+                if not self.ready:
+                    await self._load()
+                await self._follow(WATCH_MS)
+            except (Refused, Unknown) as err:
+                log.debug("event=watch_failed error=%s", err)
+                await anyio.sleep(0.2 + random.random() * 0.3)
+
+    async def current(self) -> None:
+        """Return once the mirror is known to be as new as when this was called."""
+        check = self._next_check
+        if check is None:
+            check = self._next_check = Check()
+            self._check_wake.set()
+        await check.over.wait()
+        if check.error is not None:
+            raise check.error
+
+    async def _check_loop(self) -> None:
+        while True:
+            if self._next_check is None:
+                self._check_wake = anyio.Event()
+                await self._check_wake.wait()
+            check, self._next_check = self._next_check, None
+            assert check is not None
+            try:
+                await self._follow(0)
+            except (Refused, Unknown) as err:
+                check.error = Refused(str(err))
+            check.over.set()
+            await anyio.sleep(self._check_gap)
+
+    # Leases and leadership
+
+    async def _lease_loop(self) -> None:
+        while True:
+            sent = self.now()
+            try:
+                if self.lease is None:
+                    lease = await self.state.new_lease(int(TTL_S * 1000))
+                    value = {"boot": self.boot, "zone": self.settings.zone}
+                    key = NODES + self.me
+                    version = await self.state.txn({}, {key: value}, leases={key: lease})
+                    self.lease = lease
+                    self.stored(key, value, version)
+                else:
+                    await self.state.renew(self.lease)
+                # Counted from when the request was sent, less what clocks may drift.
+                self.lease_until = sent + TTL_S * 0.998 - 0.1
+                self.contact_at = self.now()
+            except (NoLease, Conflict):
+                log.info("event=lease_lost node=%s", self.me)
+                self.lease = None
+                continue
+            except (Refused, Unknown) as err:
+                log.debug("event=renew_failed error=%s", err)
+                await anyio.sleep(0.3 + random.random() * 0.2)
+                continue
+            await anyio.sleep(RENEW_S)
+
+    def _leads(self) -> bool:
+        record = self.mirror.leader
+        return (
+            record is not None
+            and record.node == self.me
+            and record.boot == self.boot
+            and self.lease_valid()
+        )
+
+    async def _stand(self) -> None:
+        """Try to become leader: the key must not exist, or be of an earlier life of ours."""
+        record = self.mirror.leader
+        mine = record is not None and record.node == self.me and record.boot != self.boot
+        if (record is not None and not mine) or self.lease is None or not self.lease_valid():
+            return
+        if self.cores:
+            # Controllers without a part lead by preference.
+            await anyio.sleep(0.3 + random.random() * 0.2)
+            if self.mirror.leader is not None and not mine:
+                return
+        await self._write_leader()
+
+    async def _write_leader(self) -> None:
+        assert self.lease is not None
+        value = {"node": self.me, "boot": self.boot}
+        version = await self.state.txn(
+            {LEADER: self.mirror.version(LEADER)}, {LEADER: value}, leases={LEADER: self.lease}
+        )
+        self.stored(LEADER, value, version)
+        await self.current()
+
+    async def _leader_loop(self) -> None:
+        while True:
+            try:
+                if not self.ready:
+                    await anyio.sleep(0.1)
+                    continue
+                if not self._leads():
+                    if self.leader is not None:
+                        self._step_down()
+                    await self._stand()
+                if self._leads():
+                    await self._lead()
+            except (Refused, Unknown, Conflict, NoLease) as err:
+                log.debug("event=leader_pass_failed error=%r", err)
+                await anyio.sleep(0.1 + random.random() * 0.1)
+            except Exception:
+                log.exception("event=leader_pass_broken")
+                await anyio.sleep(0.5)
+            with anyio.move_on_after(0.5 if self.leader is not None else 0.3):
+                self._leader_wake = anyio.Event()
+                await self._leader_wake.wait()
+            await anyio.sleep(PASS_S)
+
+    def _step_down(self) -> None:
+        log.info("event=leader_lost node=%s", self.me)
+        self.leader = None
+        self.state.writes.rate = self._few_writes
+
+    async def _lead(self) -> None:
+        epoch = Token(self.mirror.version(LEADER))
+        now = self.now()
+        if self.leader is None:
+            self.leader = LeaderCore(self.mirror, self.settings, self.estimates, epoch, now)
+            self.state.writes.rate = self._many_writes
+            log.info("event=leader_won node=%s epoch=%d", self.me, epoch)
+        self.leader.epoch = epoch
+        for zone, part in self.assigner.changes(now).items():
+            key = PARTS + zone
+            value = {"owner": part.owner, "boot": part.boot}
+            await self._write([Change(key, value, self.mirror.version(key), 0)])
+        for core in self.cores.values():
+            self.leader.part_status(now, core.status(now))
+        changes = self.leader.plan(now, self.wall())
+        most = max(1, self.settings.deployment.state.txn_ops)
+        for start in range(0, len(changes), most):
+            await self._write(changes[start : start + most])
+
+    async def _write(self, changes: list[Change]) -> None:
+        """Write records as the leader: only as long as the epoch and the records still hold."""
+        epoch = self.mirror.version(LEADER)
+        conditions = {LEADER: epoch, **{c.key: c.version for c in changes}}
+        puts = {c.key: c.value for c in changes if c.value is not None}
+        deletes = [c.key for c in changes if c.value is None]
+        try:
+            version = await self.state.txn(conditions, puts, deletes)
+        except Conflict:
+            await self.current()
+            raise
+        except Unknown:
+            # The write may still be applied later. Writing the leader key anew ends that: the
+            # write's condition on the old epoch can't hold any more. Then we look again.
+            log.info("event=write_unknown keys=%d", len(changes))
+            await self._write_leader()
+            raise
+        for key, value in puts.items():
+            self.mirror.put(key, value, version)
+        for key in deletes:
+            self.mirror.remove(key, version)
+        self._apply_changed()
+
+    # Cloud
+
+    async def _cloud_loop(self) -> None:
+        catalog_at = list_at = -1e9
+        async with anyio.create_task_group() as group:
+            while True:
+                await anyio.sleep(0.1)
+                leader = self.leader
+                if leader is None or not self.lease_valid():
+                    catalog_at = list_at = -1e9
+                    continue
+                now = self.now()
+                for name in self.mirror.bookings:
+                    if name not in self._renting and name not in leader.rented:
+                        if self.cloud_budget.take():
+                            self._renting.add(name)
+                            group.start_soon(self._rent, leader, name)
+                doomed = [
+                    m
+                    for m, r in self.mirror.machines.items()
+                    if r.doomed and m not in leader.deleted and m not in self._deleting
+                ][:100]
+                if doomed and self.cloud_budget.take():
+                    self._deleting.update(doomed)
+                    group.start_soon(self._delete, leader, doomed)
+                if now - catalog_at > CATALOG_S and self.cloud_budget.take():
+                    catalog_at = now
+                    if not await self._catalog(leader):
+                        catalog_at = now - CATALOG_S + 1.0
+                if now - list_at > LIST_S and self.cloud_budget.take():
+                    list_at = now
+                    await self._list(leader)
+
+    async def _cloud_call(self, method: str, target: str, body: bytes | None) -> tuple[int, bytes]:
+        try:
+            return await self.cloud.request(method, target, body, CLOUD_CALL_S)
+        except HttpError as err:
+            return 0, str(err).encode()
+
+    async def _rent(self, leader: LeaderCore, name: str) -> None:
+        try:
+            booking = self.mirror.bookings[name]
+            body = wire.rent_body(name, booking.type, booking.zone, booking.spot, booking.count)
+            status, answer = await self._cloud_call("POST", "/hosts", body)
+            if status == 200:
+                leader.booking_answered(name, wire.parse_rented(answer))
+            elif status == 400 or (status == 503 and b"no capacity" in answer):
+                leader.booking_answered(name, None)
+            else:
+                log.info("event=rent_failed booking=%s status=%d", name, status)
+                await anyio.sleep(1.0)
+            self._leader_wake.set()
+        except Exception:
+            log.exception("event=rent_broken booking=%s", name)
+        finally:
+            self._renting.discard(name)
+
+    async def _delete(self, leader: LeaderCore, machines: list[MachineId]) -> None:
+        try:
+            status, _ = await self._cloud_call(
+                "POST", "/hosts/delete", wire.delete_body(machines)
+            )
+            if status == 200:
+                leader.machines_deleted(machines)
+                self._leader_wake.set()
+            else:
+                log.info("event=delete_failed count=%d status=%d", len(machines), status)
+                await anyio.sleep(1.0)
+        except Exception:
+            log.exception("event=delete_broken")
+        finally:
+            self._deleting.difference_update(machines)
+
+    async def _catalog(self, leader: LeaderCore) -> bool:
+        status, answer = await self._cloud_call("GET", "/catalog", None)
+        try:
+            if status == 200:
+                leader.catalog(wire.parse_catalog(answer))
+                self._leader_wake.set()
+                return True
+        except Exception as err:
+            log.error("event=catalog_refused error=%s", err)
+        return False
+
+    async def _list(self, leader: LeaderCore) -> None:
+        machines: list[wire.Listed] = []
+        since = ""
+        try:
+            while True:
+                target = "/hosts?limit=500" + (f"&since={since}" if since else "")
+                status, answer = await self._cloud_call("GET", target, None)
+                if status != 200:
+                    return
+                page = wire.parse_list(answer)
+                machines += page.machines
+                if not page.more or not page.machines or len(machines) > 20000:
+                    break
+                since = page.machines[-1].machine
+            leader.machines_listed(self.now(), wire.MachineList(machines))
+        except Exception as err:
+            log.error("event=list_refused error=%s", err)
+
+    # Parts and peers
+
+    async def _part_loop(self) -> None:
+        while True:
+            await anyio.sleep(STATUS_GAP_S)
+            now = self.now()
+            for zone, core in list(self.cores.items()):
+                try:
+                    core.tick(now)
+                    due = STATUS_GAP_S if core.dirty else STATUS_IDLE_S
+                    if now - self._status_at.get(zone, -1e9) >= due * 0.9:
+                        self._status_at[zone] = now
+                        self._send_status(now, core)
+                except Exception:
+                    log.exception("event=part_broken zone=%s", zone)
+
+    def _send_status(self, now: Seconds, core: PartCore) -> None:
+        if self.leader is not None:
+            # The leader's pass takes the status of its own parts itself.
+            self._leader_wake.set()
+            return
+        record = self.mirror.leader
+        link = self.links.get(NodeName(record.node)) if record is not None else None
+        if link is not None:
+            link.post(f"part:{core.zone}", core.status(now))
+
+    async def _gossip_loop(self) -> None:
+        while True:
+            await anyio.sleep(GOSSIP_S)
+            running: dict[JobId, int] = {}
+            for core in self.cores.values():
+                for job, count in core.running():
+                    running[job] = running.get(job, 0) + count
+            self._running[self.me] = running
+            parts = {
+                zone: (self.mirror.version(PARTS + zone), part.owner)
+                for zone, part in self.mirror.parts.items()
+            }
+            message = {
+                "kind": "node",
+                "node": self.me,
+                "running": running,
+                "parts": parts,
+                "state": self.now() - self.contact_at < 3.0,
+            }
+            for link in self.links.values():
+                link.post("node", message)
+
+    def _on_message(self, message: dict[str, Any]) -> None:
+        kind = message.get("kind")
+        if kind == "part":
+            if self.leader is not None:
+                self.leader.part_status(self.now(), message)
+                self._leader_wake.set()
+        elif kind == "node":
+            node = NodeName(message["node"])
+            self._peer_state[node] = (self.now(), bool(message["state"]))
+            self._running[node] = {JobId(j): int(n) for j, n in message["running"].items()}
+            for zone, (token, owner) in message["parts"].items():
+                if token > self._heard_parts.get(zone, (0, ""))[0]:
+                    self._heard_parts[zone] = (Token(token), NodeName(owner))
+
+    def running_tasks(self, job: JobId) -> int:
+        return sum(counts.get(job, 0) for counts in self._running.values())
+
+    # Requests
+
+    def _healthy(self) -> bool:
+        """Whether users are served here as well as anywhere."""
+        if not self.ready:
+            return False
+        now = self.now()
+        if now - self.contact_at < 4.0:
+            return True
+        return not any(now - at < 4.0 and ok for at, ok in self._peer_state.values())
+
+    def _checkin(self, request: Request) -> Answer:
+        if request.too_large:
+            return Answer(400, b'{"error":"body over 64 KiB"}')
+        try:
+            report = wire.parse_report(request.body)
+        except wire.Malformed as err:
+            log.error("event=report_refused error=%s", err)
+            return Answer(400, b'{"error":"malformed report"}')
+        now = self.now()
+        zone = report.zone
+        core = self.cores.get(zone)
+        heard_token, heard_owner = self._heard_parts.get(zone, (Token(0), NodeName("")))
+        if core is not None and core.token >= max(heard_token, report.token):
+            workers = self.settings.deployment.workers
+            old = now - self.current_at
+            # A cancellation that we can't see ends its tasks through the workers' leases: we
+            # keep them up only as long as that is still in time.
+            if old < workers.cancel_s - workers.lease_s - MARGIN_S:
+                may_launch = self.lease_valid() and old < CURRENT_S
+                orders = core.report(now, report, may_launch)
+                if core.dirty:
+                    self._leader_wake.set()
+                return Answer(200, wire.report_answer(core.token, orders))
+            return Answer(503, b'{"error":"cut off"}', 1)
+        part = self.mirror.parts.get(zone)
+        owner = part.owner if part is not None else ""
+        if heard_token > self.mirror.version(PARTS + zone):
+            owner = heard_owner
+        if owner and owner != self.me and (self.ready and owner in self.mirror.nodes):
+            return Answer(421, wire.redirect(owner))
+        return Answer(503, b'{"error":"no owner"}', 1)
+
+    async def handle(self, request: Request) -> Answer:
+        path = request.target.partition("?")[0]
+        if path == "/checkin":
+            return self._checkin(request) if request.method == "POST" else NO_METHOD
+        if path == "/healthz":
+            if request.method != "GET":
+                return NO_METHOD
+            return Answer(200) if self._healthy() else Answer(503, b"{}", 1)
+        answer = await self.api.handle(request)
+        return NO_PATH if answer is None else answer
+
+    async def run(self) -> None:
+        host, port = host_port(self.settings.client_listen, "client_listen")
+        clients = await anyio.create_tcp_listener(local_host=host, local_port=port, backlog=1024)
+        host, port = host_port(self.settings.peer_listen, "peer_listen")
+        peers = await anyio.create_tcp_listener(local_host=host, local_port=port)
+        async with anyio.create_task_group() as group:
+            for link in self.links.values():
+                group.start_soon(link.run)
+            for loop in (
+                self._lease_loop,
+                self._watch_loop,
+                self._check_loop,
+                self._leader_loop,
+                self._cloud_loop,
+                self._part_loop,
+                self._gossip_loop,
+            ):
+                group.start_soon(self._forever, loop)
+            group.start_soon(self._serve_peers, peers)
+            await clients.serve(lambda stream: serve_connection(stream, self.handle))
+
+    async def _serve_peers(self, listener: anyio.abc.SocketListener) -> None:
+        await listener.serve(lambda stream: receive_frames(stream, self._on_message))
+
+    async def _forever(self, loop: Any) -> None:
+        """Run a loop; one that breaks is logged and started again, and ends nothing else."""
+        while True:
+            try:
+                await loop()
+            except Exception:
+                log.exception("event=loop_broken loop=%s", loop.__name__)
+                await anyio.sleep(0.5)
+
+
+__all__ = ["LeaderRecord", "Node", "NodeRecord"]
--- /dev/null
+++ b/src/dapplewick/protocol/wire.py
@@ -0,0 +1,402 @@
+"""The wire formats: names used on the wire stay in this layer."""
+
+from __future__ import annotations
+
+import math
+import re
+from typing import Any, NamedTuple
+
+import msgspec
+
+from dapplewick.types import (
+    Attempt,
+    JobId,
+    MachineId,
+    Seconds,
+    Size,
+    TaskIndex,
+    TaskRef,
+    Token,
+    TypeName,
+    Zone,
+)
+
+JOB_ID = re.compile(r"run-[A-Za-z0-9_-]{1,100}\Z")
+MAX_TASKS = 100_000
+MAX_COUNT = 1 << 64
+RANK = {"critical": 3, "urgent": 2, "standard": 1, "best_effort": 0}
+
+
+class Malformed(Exception):
+    """A body that breaks the protocol; the text is a short reason."""
+
+
+class JobSpec(msgspec.Struct, frozen=True, omit_defaults=True):
+    """What a user asks for."""
+
+    bundle: str
+    team: str
+    gang: bool
+    rank: int
+    tasks: int
+    cpus: float
+    gpus: float
+    ram: float
+    image: str
+    image_gb: float
+    estimate: float
+    types: list[str] | None = None
+    zone: str | None = None
+    one_zone: bool = False
+    spread: bool = False
+    spot: bool = False
+    checkpoint: float = 0.0
+    save: float = 0.0
+    deadline: float | None = None
+
+    @property
+    def size(self) -> Size:
+        return Size(self.cpus, self.gpus, self.ram)
+
+    @property
+    def zone_cap(self) -> int:
+        """How many tasks may be in one zone."""
+        return (self.tasks + 1) // 2 if self.spread else self.tasks
+
+
+def _amount(body: dict[str, Any], field: str, least: float = 0.0) -> float:
+    value = body.get(field)
+    if isinstance(value, bool) or not isinstance(value, int | float):
+        raise Malformed(f"{field}: a number is needed")
+    try:
+        value = float(value)
+    except OverflowError:
+        raise Malformed(f"{field}: out of range") from None
+    if not math.isfinite(value) or value < least:
+        raise Malformed(f"{field}: out of range")
+    return value
+
+
+def _text(body: dict[str, Any], field: str) -> str:
+    value = body.get(field)
+    if not isinstance(value, str) or not 0 < len(value) <= 200:
+        raise Malformed(f"{field}: a text is needed")
+    return value
+
+
+def _flag(body: dict[str, Any], field: str) -> bool:
+    value = body.get(field)
+    if not isinstance(value, bool):
+        raise Malformed(f"{field}: true or false is needed")
+    return value
+
+
+def parse_submission(raw: bytes) -> tuple[JobId, JobSpec]:
+    """Check a submission and give it in our own terms."""
+    try:
+        body = msgspec.json.decode(raw)
+    except (msgspec.DecodeError, UnicodeDecodeError, RecursionError):
+        raise Malformed("not JSON") from None
+    if not isinstance(body, dict):
+        raise Malformed("not an object")
+    job = _text(body, "name_id")
+    if not JOB_ID.match(job):
+        raise Malformed("name_id: not a job id")
+    shape = body.get("shape")
+    if shape not in ("sweep", "group"):
+        raise Malformed("shape: sweep or group is needed")
+    urgency = body.get("urgency")
+    if not isinstance(urgency, str) or urgency not in RANK:
+        raise Malformed("urgency: unknown")
+    tasks = body.get("pieces")
+    if isinstance(tasks, bool) or not isinstance(tasks, int) or not 1 <= tasks <= MAX_TASKS:
+        raise Malformed("pieces: a number from 1 to 100000 is needed")
+    types = body.get("builds")
+    if types is not None and (
+        not isinstance(types, list) or not types or not all(isinstance(t, str) for t in types)
+    ):
+        raise Malformed("builds: null or a list of types is needed")
+    zone = body.get("yard")
+    if zone is not None and not isinstance(zone, str):
+        raise Malformed("yard: null or a text is needed")
+    deadline = None if body.get("due_s") is None else _amount(body, "due_s")
+    spec = JobSpec(
+        bundle=_text(body, "bundle"),
+        team=_text(body, "crew"),
+        gang=shape == "group",
+        rank=RANK[urgency],
+        tasks=tasks,
+        cpus=_amount(body, "cpus"),
+        gpus=_amount(body, "accelerators"),
+        ram=_amount(body, "ram_gb"),
+        image=_text(body, "kit"),
+        image_gb=_amount(body, "image_gb"),
+        estimate=_amount(body, "expected_s"),
+        types=types,
+        zone=zone,
+        one_zone=_flag(body, "same_place"),
+        spread=_flag(body, "scatter"),
+        spot=_flag(body, "borrowed"),
+        checkpoint=_amount(body, "fold_s"),
+        save=_amount(body, "press_s"),
+        deadline=deadline,
+    )
+    return JobId(job), spec
+
+
+def job_view(job: str, stage: str, done: int | None = None, running: int | None = None) -> bytes:
+    body: dict[str, Any] = {"name_id": job, "stage": stage}
+    if done is not None:
+        body["done"] = done
+    if running is not None:
+        body["running"] = running
+    return msgspec.json.encode(body)
+
+
+# Workers
+
+
+class _Piece(msgspec.Struct):
+    piece: str
+    try_: int = msgspec.field(name="try")
+    stage: str = ""
+    cause: str | None = None
+    saved: bool | None = None
+
+
+class _Checkin(msgspec.Struct):
+    loom: str
+    build: str
+    yard: str
+    borrowed: bool
+    shift: int
+    tally: int
+    baton: int
+    pieces: list[_Piece]
+    endpoint: str = ""
+    recall_s: float | None = None
+
+
+class TaskReport(NamedTuple):
+    task: TaskRef
+    attempt: Attempt
+    stage: str
+    cause: str | None
+    saved: bool
+
+
+class Report(NamedTuple):
+    machine: MachineId
+    type: TypeName
+    zone: Zone
+    spot: bool
+    session: int
+    seq: int
+    token: Token
+    notice: Seconds | None
+    address: str
+    tasks: list[TaskReport]
+
+
+_checkin = msgspec.json.Decoder(_Checkin)
+
+
+def parse_task(name: str) -> TaskRef:
+    job, slash, index = name.rpartition("/")
+    if not slash or not index.isdigit() or len(index) > 9:
+        raise Malformed("piece: not a task")
+    return TaskRef(JobId(job), TaskIndex(int(index)))
+
+
+def parse_report(raw: bytes) -> Report:
+    try:
+        body = _checkin.decode(raw)
+    except (msgspec.DecodeError, UnicodeDecodeError) as err:
+        raise Malformed(str(err)) from None
+    for value in (body.shift, body.tally, body.baton):
+        if not 0 <= value < MAX_COUNT:
+            raise Malformed("shift, tally or baton: out of range")
+    tasks = [
+        TaskReport(parse_task(p.piece), Attempt(p.try_), p.stage, p.cause, bool(p.saved))
+        for p in body.pieces
+    ]
+    return Report(
+        MachineId(body.loom),
+        TypeName(body.build),
+        Zone(body.yard),
+        body.borrowed,
+        body.shift,
+        body.tally,
+        Token(body.baton),
+        body.recall_s,
+        body.endpoint,
+        tasks,
+    )
+
+
+class Order(NamedTuple):
+    """A command to a worker. `grace` is only for stops."""
+
+    op: str
+    task: TaskRef
+    attempt: Attempt
+    grace: Seconds = 0.0
+
+
+_VERBS = {"start": "launch", "stop": "kill", "forget": "forget"}
+
+
+def report_answer(token: Token, orders: list[Order]) -> bytes:
+    out = []
+    for order in orders:
+        item: dict[str, Any] = {
+            "verb": _VERBS[order.op],
+            "piece": f"{order.task.job}/{order.task.index}",
+            "try": order.attempt,
+        }
+        if order.op == "stop":
+            item["wind_down_s"] = order.grace
+        out.append(item)
+    return msgspec.json.encode({"baton": token, "orders": out})
+
+
+def redirect(owner: str | None) -> bytes:
+    return msgspec.json.encode({} if owner is None else {"foreman": owner})
+
+
+# Cloud
+
+
+class MachineType(msgspec.Struct):
+    """A type of machine, as the cloud offers it."""
+
+    name: str = msgspec.field(name="sku")
+    cpus: float = 0.0
+    gpus: float = msgspec.field(name="accelerators", default=0.0)
+    ram: float = msgspec.field(name="ram_gb", default=0.0)
+    fetch_rate: float = msgspec.field(name="fetch_gb_per_s", default=0.1)
+    price: float = msgspec.field(name="hourly", default=1.0)
+    spot_price: float = msgspec.field(name="low_price", default=1.0)
+    boot: float = msgspec.field(name="ready_s", default=60.0)
+    zones: list[str] = msgspec.field(name="yards", default_factory=list)
+
+    @property
+    def size(self) -> Size:
+        return Size(self.cpus, self.gpus, self.ram)
+
+
+class _Catalog(msgspec.Struct):
+    builds: list[MachineType]
+
+
+class _Rented(msgspec.Struct):
+    looms: list[str]
+
+
+class Listed(msgspec.Struct):
+    machine: str = msgspec.field(name="name_id")
+    type: str = msgspec.field(name="build")
+    zone: str = msgspec.field(name="yard")
+    spot: bool = msgspec.field(name="borrowed")
+    state: str = msgspec.field(name="stage")
+    age: float = msgspec.field(name="held_s")
+    address: str = msgspec.field(name="endpoint", default="")
+
+
+class MachineList(msgspec.Struct):
+    machines: list[Listed] = msgspec.field(name="looms")
+    more: bool = False
+
+
+def parse_catalog(raw: bytes) -> list[MachineType]:
+    return msgspec.json.decode(raw, type=_Catalog).builds
+
+
+def parse_types(value: Any) -> list[MachineType]:
+    return msgspec.convert(value, type=list[MachineType])
+
+
+def types_value(types: list[MachineType]) -> Any:
+    return msgspec.to_builtins(types)
+
+
+def rent_body(request: str, type_: str, zone: str, spot: bool, count: int) -> bytes:
+    return msgspec.json.encode(
+        {"booking": request, "build": type_, "yard": zone, "borrowed": spot, "how_many": count}
+    )
+
+
+def parse_rented(raw: bytes) -> list[MachineId]:
+    return [MachineId(m) for m in msgspec.json.decode(raw, type=_Rented).looms]
+
+
+def delete_body(machines: list[MachineId]) -> bytes:
+    return msgspec.json.encode({"looms": machines})
+
+
+def parse_list(raw: bytes) -> MachineList:
+    return msgspec.json.decode(raw, type=MachineList)
+
+
+# State service
+
+
+class KeyItem(msgspec.Struct):
+    key: str
+    value: Any = msgspec.field(name="data", default=None)
+    version: int = msgspec.field(name="stamp", default=0)
+
+
+class KeyPage(msgspec.Struct):
+    items: list[KeyItem]
+    more: bool = False
+    revision: int = msgspec.field(name="ledger", default=0)
+
+
+class Event(msgspec.Struct):
+    version: int = msgspec.field(name="stamp")
+    put: str | None = msgspec.field(name="write", default=None)
+    delete: str | None = msgspec.field(name="remove", default=None)
+    value: Any = msgspec.field(name="data", default=None)
+
+
+class Changes(msgspec.Struct):
+    revision: int = msgspec.field(name="ledger")
+    events: list[Event]
+
+
+class TxnResult(msgspec.Struct):
+    revision: int = msgspec.field(name="ledger", default=0)
+    failed: list[str] = []
+
+
+class Lease(msgspec.Struct):
+    lease: int = msgspec.field(name="hold")
+
+
+key_item = msgspec.json.Decoder(KeyItem)
+key_page = msgspec.json.Decoder(KeyPage)
+changes = msgspec.json.Decoder(Changes)
+txn_result = msgspec.json.Decoder(TxnResult)
+lease = msgspec.json.Decoder(Lease)
+
+
+def txn_body(
+    conditions: dict[str, int], puts: dict[str, Any], deletes: list[str], leases: dict[str, int]
+) -> bytes:
+    """A transaction; `leases` says which of the written keys hang on which lease."""
+    apply: list[dict[str, Any]] = []
+    for key, value in puts.items():
+        item: dict[str, Any] = {"write": key, "data": value}
+        if key in leases:
+            item["hold"] = leases[key]
+        apply.append(item)
+    apply.extend({"remove": key} for key in deletes)
+    body: dict[str, Any] = {"if": [{"key": k, "stamp": v} for k, v in conditions.items()]}
+    if apply:
+        body["apply"] = apply
+    return msgspec.json.encode(body)
+
+
+def lease_body(ttl_ms: int) -> bytes:
+    return msgspec.json.encode({"life_ms": ttl_ms})
--- /dev/null
+++ b/src/dapplewick/storage/client.py
@@ -0,0 +1,164 @@
+"""The client of the state service, within this node's budget."""
+
+from __future__ import annotations
+
+import logging
+from typing import Any
+
+import anyio
+
+from dapplewick.protocol import wire
+from dapplewick.transport.http import HttpClient, HttpError, NotSent
+
+log = logging.getLogger("dapplewick.state")
+
+CALL_S = 1.5
+
+
+class Refused(Exception):
+    """The request was not carried out."""
+
+
+class Unknown(Exception):
+    """The request may or may not have been carried out, or may still be."""
+
+
+class Conflict(Exception):
+    """A condition of the transaction does not hold."""
+
+    def __init__(self, failed: list[str]) -> None:
+        super().__init__(",".join(failed))
+        self.failed = failed
+
+
+class NoLease(Exception):
+    """The lease has ended."""
+
+
+class TooOld(Exception):
+    """The changes asked for are no longer kept."""
+
+
+class Budget:
+    """A bucket of requests, filled at `rate`, with a second's worth of burst."""
+
+    def __init__(self, rate: float) -> None:
+        self.rate = rate
+        self._level = rate
+        self._at = anyio.current_time()
+
+    def take(self, amount: float = 1.0, reserve: float = 0.0) -> bool:
+        """Take an amount; `reserve` is left for calls that matter more."""
+        now = anyio.current_time()
+        self._level = min(self.rate, self._level + (now - self._at) * self.rate)
+        self._at = now
+        if self._level < amount + reserve:
+            return False
+        self._level -= amount
+        return True
+
+
+class StateClient:
+    """Calls of the state service. Over the budget a call is refused here, not there."""
+
+    def __init__(self, host: str, port: int, rps: float, write_rps: float) -> None:
+        self._http = HttpClient(host, port)
+        self.calls = Budget(rps)
+        self.writes = Budget(write_rps)
+
+    async def _call(
+        self, method: str, target: str, body: bytes | None, within: float = CALL_S
+    ) -> tuple[int, bytes]:
+        try:
+            status, answer = await self._http.request(method, target, body, within)
+        except NotSent as err:
+            raise Refused(str(err)) from None
+        except HttpError as err:
+            raise Unknown(str(err)) from None
+        if status in (429, 503):
+            raise Refused(str(status))
+        return status, answer
+
+    def _spend(self, amount: float = 1.0, reserve: float = 0.0) -> None:
+        if not self.calls.take(amount, reserve):
+            raise Refused("over the request budget")
+
+    async def get(self, key: str) -> tuple[Any, int]:
+        """The value and version of a key; version 0 if there is none."""
+        self._spend()
+        status, answer = await self._call("GET", f"/keys/{key}", None)
+        if status == 404:
+            return None, 0
+        if status != 200:
+            raise Refused(str(status))
+        item = wire.key_item.decode(answer)
+        return item.value, item.version
+
+    async def list(self, prefix: str) -> tuple[dict[str, tuple[Any, int]], int]:
+        """All keys with a prefix, and a revision from which changes are to be followed."""
+        items: dict[str, tuple[Any, int]] = {}
+        since = ""
+        first: int | None = None
+        while True:
+            self._spend()
+            target = f"/keys?starts={prefix}&limit=500" + (f"&since={since}" if since else "")
+            status, answer = await self._call("GET", target, None, 5.0)
+            if status != 200:
+                raise Refused(str(status))
+            page = wire.key_page.decode(answer)
+            first = page.revision if first is None else first
+            for item in page.items:
+                items[item.key] = (item.value, item.version)
+                since = item.key
+            if not page.more or not page.items:
+                return items, first
+
+    async def changes(self, prefix: str, since: int, wait_ms: int) -> wire.Changes:
+        self._spend()
+        target = f"/changes?starts={prefix}&since={since}&wait_ms={wait_ms}"
+        status, answer = await self._call("GET", target, None, wait_ms / 1000 + CALL_S)
+        if status == 410:
+            raise TooOld
+        if status != 200:
+            raise Refused(str(status))
+        return wire.changes.decode(answer)
+
+    async def txn(
+        self,
+        conditions: dict[str, int],
+        puts: dict[str, Any],
+        deletes: list[str] | None = None,
+        leases: dict[str, int] | None = None,
+    ) -> int:
+        """An atomic change; gives its revision. Raises Conflict, Refused or Unknown."""
+        deletes = deletes or []
+        self._spend()
+        amount = len(puts) + len(deletes)
+        if amount and not self.writes.take(amount):
+            raise Refused("over the write budget")
+        body = wire.txn_body(conditions, puts, deletes, leases or {})
+        status, answer = await self._call("POST", "/multi", body)
+        if status == 200:
+            return wire.txn_result.decode(answer).revision
+        if status == 409:
+            raise Conflict(wire.txn_result.decode(answer).failed)
+        if status == 400 and b"no such lease" in answer:
+            raise NoLease
+        log.error("event=state_rejected status=%d answer=%r", status, answer[:200])
+        raise Refused(str(status))
+
+    async def new_lease(self, ttl_ms: int) -> int:
+        self._spend()
+        status, answer = await self._call("POST", "/leases", wire.lease_body(ttl_ms))
+        if status != 200:
+            raise Refused(str(status))
+        return wire.lease.decode(answer).lease
+
+    async def renew(self, lease: int) -> None:
+        # Renewals come before everything else: they may overdraw the budget.
+        self.calls.take()
+        status, _ = await self._call("POST", f"/leases/{lease}/renew", b"{}")
+        if status == 404:
+            raise NoLease
+        if status != 200:
+            raise Refused(str(status))
--- /dev/null
+++ b/src/dapplewick/storage/records.py
@@ -0,0 +1,233 @@
+"""The records kept in the state service, and the mirror of them that each node has."""
+
+from __future__ import annotations
+
+import logging
+from collections.abc import Callable, Iterator
+from typing import Any
+
+import msgspec
+
+from dapplewick.protocol.wire import JobSpec, MachineType, parse_types
+from dapplewick.storage.ranges import pack, unpack
+from dapplewick.types import JobId, MachineId, NodeName, Revision, TaskIndex, Zone
+
+log = logging.getLogger("dapplewick.records")
+
+ROOT = "dw/"
+LEADER = ROOT + "leader"
+TYPES = ROOT + "types"
+JOBS = ROOT + "j/"
+MACHINES = ROOT + "m/"
+PARTS = ROOT + "p/"
+NODES = ROOT + "n/"
+BOOKINGS = ROOT + "b/"
+
+OPEN, DONE, CANCELLED = "open", "done", "cancelled"
+
+
+class GangPlace(msgspec.Struct, omit_defaults=True):
+    """Where an attempt of a gang is held or runs. `over`: it is to end and be cleared."""
+
+    attempt: int
+    places: list[tuple[str, str]]  # (zone, machine) of each task
+    over: bool = False
+    preempt: bool = False
+
+    def zones(self) -> set[str]:
+        return {zone for zone, _ in self.places}
+
+
+class _RawJob(msgspec.Struct, omit_defaults=True):
+    spec: JobSpec
+    stage: str
+    at: float
+    done: str = ""
+    grants: dict[str, str] = {}
+    gang: GangPlace | None = None
+
+
+class JobRecord:
+    """A job: what was asked, what is done, and who may run what."""
+
+    __slots__ = ("at", "done", "gang", "grants", "spec", "stage", "version")
+
+    def __init__(self, spec: JobSpec, at: float) -> None:
+        self.spec = spec
+        self.stage = OPEN
+        self.at = at
+        self.done: set[int] = set()
+        self.grants: dict[str, set[int]] = {}
+        self.gang: GangPlace | None = None
+        self.version = Revision(0)
+
+    def dump(self) -> Any:
+        raw = _RawJob(
+            spec=self.spec,
+            stage=self.stage,
+            at=self.at,
+            done=pack(self.done) if self.stage == OPEN else "",
+            grants={zone: pack(tasks) for zone, tasks in self.grants.items() if tasks},
+            gang=self.gang,
+        )
+        return msgspec.to_builtins(raw)
+
+    @classmethod
+    def load(cls, value: Any, version: int) -> JobRecord:
+        raw = msgspec.convert(value, type=_RawJob)
+        job = cls(raw.spec, raw.at)
+        job.stage = raw.stage
+        job.done = unpack(raw.done)
+        job.grants = {zone: unpack(text) for zone, text in raw.grants.items()}
+        job.gang = raw.gang
+        job.version = Revision(version)
+        return job
+
+    @property
+    def done_count(self) -> int:
+        return self.spec.tasks if self.stage == DONE else len(self.done)
+
+    @property
+    def open(self) -> bool:
+        return self.stage == OPEN
+
+    def granted(self, zone: str) -> set[int]:
+        return self.grants.get(zone, set())
+
+    def holder(self, index: TaskIndex) -> str | None:
+        """The zone that this task is granted to."""
+        for zone, tasks in self.grants.items():
+            if index in tasks:
+                return zone
+        return None
+
+
+class MachineRecord(msgspec.Struct, omit_defaults=True):
+    """A machine. `up`: its worker was heard, so launches there are allowed from now on.
+    `doomed`: its deletion is decided and is never taken back."""
+
+    type: str
+    zone: str
+    spot: bool
+    at: float
+    up: bool = False
+    doomed: bool = False
+    address: str = ""
+
+
+class PartRecord(msgspec.Struct):
+    owner: str
+    boot: str
+
+
+class NodeRecord(msgspec.Struct):
+    boot: str
+    zone: str
+
+
+class LeaderRecord(msgspec.Struct):
+    node: str
+    boot: str
+
+
+class BookingRecord(msgspec.Struct):
+    type: str
+    zone: str
+    spot: bool
+    count: int
+    at: float
+
+
+class Mirror:
+    """A copy of all records, brought up to date by changes in any order or repeated."""
+
+    def __init__(self) -> None:
+        self.revision = Revision(0)
+        self.versions: dict[str, int] = {}
+        self.jobs: dict[JobId, JobRecord] = {}
+        self.machines: dict[MachineId, MachineRecord] = {}
+        self.parts: dict[Zone, PartRecord] = {}
+        self.nodes: dict[NodeName, NodeRecord] = {}
+        self.bookings: dict[str, BookingRecord] = {}
+        self.leader: LeaderRecord | None = None
+        self.types: dict[str, MachineType] = {}
+        self.live_jobs: set[JobId] = set()
+        self._gone: dict[str, int] = {}
+        self.listeners: list[Callable[[str], None]] = []
+
+    def reload(self, items: dict[str, tuple[Any, int]], revision: int) -> None:
+        """Take over a full listing that was begun at a revision."""
+        for key in [k for k, v in self.versions.items() if k not in items and v <= revision]:
+            self._remove(key, revision)
+        for key, (value, version) in items.items():
+            self.put(key, value, version)
+        self.revision = Revision(max(self.revision, revision))
+
+    def put(self, key: str, value: Any, version: int) -> None:
+        if self.versions.get(key, 0) >= version or self._gone.get(key, 0) >= version:
+            return
+        try:
+            self._store(key, value, version)
+        except (msgspec.ValidationError, ValueError, TypeError) as err:
+            log.error("event=record_refused key=%s error=%s", key, err)
+            return
+        self.versions[key] = version
+        for listener in self.listeners:
+            listener(key)
+
+    def remove(self, key: str, version: int) -> None:
+        if self.versions.get(key, 0) > version:
+            return
+        self._remove(key, version)
+
+    def _store(self, key: str, value: Any, version: int) -> None:
+        name = key[len(ROOT) + 2 :]
+        if key.startswith(JOBS):
+            job = JobRecord.load(value, version)
+            self.jobs[JobId(name)] = job
+            if job.open or job.grants or job.gang:
+                self.live_jobs.add(JobId(name))
+            else:
+                self.live_jobs.discard(JobId(name))
+        elif key.startswith(MACHINES):
+            self.machines[MachineId(name)] = msgspec.convert(value, type=MachineRecord)
+        elif key.startswith(PARTS):
+            self.parts[Zone(name)] = msgspec.convert(value, type=PartRecord)
+        elif key.startswith(NODES):
+            self.nodes[NodeName(name)] = msgspec.convert(value, type=NodeRecord)
+        elif key.startswith(BOOKINGS):
+            self.bookings[name] = msgspec.convert(value, type=BookingRecord)
+        elif key == LEADER:
+            self.leader = msgspec.convert(value, type=LeaderRecord)
+        elif key == TYPES:
+            self.types = {t.name: t for t in parse_types(value)}
+
+    def _remove(self, key: str, version: int) -> None:
+        self.versions.pop(key, None)
+        self._gone[key] = version
+        if len(self._gone) > 5000:
+            for old in list(self._gone)[:2500]:
+                del self._gone[old]
+        name = key[len(ROOT) + 2 :]
+        if key.startswith(JOBS):
+            self.jobs.pop(JobId(name), None)
+            self.live_jobs.discard(JobId(name))
+        elif key.startswith(MACHINES):
+            self.machines.pop(MachineId(name), None)
+        elif key.startswith(PARTS):
+            self.parts.pop(Zone(name), None)
+        elif key.startswith(NODES):
+            self.nodes.pop(NodeName(name), None)
+        elif key.startswith(BOOKINGS):
+            self.bookings.pop(name, None)
+        elif key == LEADER:
+            self.leader = None
+        for listener in self.listeners:
+            listener(key)
+
+    def version(self, key: str) -> int:
+        return self.versions.get(key, 0)
+
+    def each_live(self) -> Iterator[tuple[JobId, JobRecord]]:
+        for job_id in self.live_jobs:
+            yield job_id, self.jobs[job_id]
