--- a/src/dapplewick/core/leader.py
+++ b/src/dapplewick/core/leader.py
@@ -12,7 +12,7 @@
 
 from dapplewick.config import Settings
 from dapplewick.core.estimates import Estimates
-from dapplewick.core.fleet import Fleet, Need, wanted_slots
+from dapplewick.core.fleet import IDLE_S, Fleet, Need, wanted_slots
 from dapplewick.core.model import View, fit_all, fit_held, view_of
 from dapplewick.protocol.wire import JobSpec, Listed, MachineList, MachineType, types_value
 from dapplewick.storage.records import (
