--- a/src/dapplewick/api.py
+++ b/src/dapplewick/api.py
@@ -95,6 +95,8 @@
         types = [t for name in names if (t := self.world.mirror.types.get(name)) is not None]
         if not any(spec.size.fits(t.size) for t in types):
             return "a task fits no allowed machine type"
+        if spec.gang and spec.zone_cap < spec.tasks and (spec.one_zone or spec.zone is not None):
+            return "a gang can't be both in one zone and spread over several"
         together = spec.tasks if spec.gang else 1
         for limit, each in ((team.cpus_max, spec.cpus), (team.gpus_max, spec.gpus)):
             if limit > 0 and each * together > limit + 1e-6:
--- a/src/dapplewick/core/fleet.py
+++ b/src/dapplewick/core/fleet.py
@@ -7,7 +7,7 @@
 import random
 from typing import NamedTuple
 
-from dapplewick.core.model import View, fit_all
+from dapplewick.core.model import View, room_for, take_times
 from dapplewick.protocol.wire import JobSpec, MachineType
 from dapplewick.storage.records import BookingRecord, Mirror
 from dapplewick.types import MachineId, Seconds, TypeName, Zone
@@ -25,7 +25,7 @@
     """Tasks for which there is no room: `count` of them want to run at the same time."""
 
     spec: JobSpec
-    count: int
+    tasks: int
     together: bool
 
 
@@ -63,9 +63,7 @@
             kind = self.mirror.types.get(booking.type)
             if kind is not None:
                 for n in range(booking.count):
-                    views.append(
-                        self._empty(f"{name}#{n}", kind, booking.zone, booking.spot)
-                    )
+                    views.append(self._empty(f"{name}#{n}", kind, booking.zone, booking.spot))
         return views
 
     def _empty(self, name: str, kind: MachineType, zone: str, spot: bool) -> View:
@@ -73,7 +71,7 @@
             MachineId(name), TypeName(kind.name), Zone(zone), spot, kind.size, kind.size, [], 0
         )
 
-    def _offers(self, now: Seconds, spec: JobSpec) -> list[Offer]:
+    def _offers(self, now: Seconds, spec: JobSpec, zones: list[str]) -> list[Offer]:
         offers = []
         for kind in (self.prices or self.mirror.types).values():
             if spec.types is not None and kind.name not in spec.types:
@@ -81,7 +79,7 @@
             if not spec.size.fits(kind.size):
                 continue
             for zone in kind.zones or self.zones:
-                if zone not in self.zones or (spec.zone is not None and spec.zone != zone):
+                if zone not in zones or (spec.zone is not None and spec.zone != zone):
                     continue
                 for spot in (True, False) if spec.spot else (False,):
                     asked = self.refused.get((kind.name, zone, spot))
@@ -90,46 +88,75 @@
                         offers.append(Offer(kind, zone, spot, price))
         return offers
 
-    def rent(self, now: Seconds, needs: list[Need]) -> list[BookingRecord]:
-        """What to ask for, beyond what is already coming."""
-        coming = self.coming()
+    def rent(self, now: Seconds, needs: list[Need], rooms: list[View]) -> list[BookingRecord]:
+        """What to ask for, beyond the rooms that there are and what is already coming.
+
+        A need that finds room in machines that are up rents nothing, whatever else keeps it
+        from starting: otherwise it would rent again in every pass.
+        """
+        pool = rooms + self.coming()
         asked: dict[tuple[str, str, bool], int] = {}
-        total = 0
         for need in needs:
-            left = need.count
-            placed = fit_all(coming, need.spec, left)
-            if placed is not None:
-                for view in placed:
-                    view.take(need.spec.size)
-                continue
-            for view in coming:
-                if view.allows(need.spec):
-                    while left > 0 and need.spec.size.fits(view.free):
-                        view.take(need.spec.size)
-                        left -= 1
-            while left > 0 and total < MOST_AT_ONCE:
-                offer = self._best(now, need.spec, left, asked)
-                if offer is None:
-                    break
-                key = (offer.type.name, offer.zone, offer.spot)
-                asked[key] = asked.get(key, 0) + 1
-                total += 1
-                view = self._empty(f"new#{total}", offer.type, offer.zone, offer.spot)
-                while left > 0 and need.spec.size.fits(view.free):
-                    view.take(need.spec.size)
-                    left -= 1
-                coming.append(view)
+            spec = need.spec
+            if need.together and spec.one_zone:
+                zones = sorted(self.zones, key=lambda z: -room_for(pool, spec, z))
+                for zone in zones:
+                    if self._provide(now, spec, need.tasks, need.tasks, [zone], pool, asked):
+                        break
+            else:
+                cap = spec.zone_cap if need.together else need.tasks
+                self._provide(now, spec, need.tasks, cap, self.zones, pool, asked)
         return [
             BookingRecord(type=kind, zone=zone, spot=spot, count=count, at=now)
             for (kind, zone, spot), count in asked.items()
         ]
 
+    def _provide(
+        self,
+        now: Seconds,
+        spec: JobSpec,
+        count: int,
+        cap: int,
+        zones: list[str],
+        pool: list[View],
+        asked: dict[tuple[str, str, bool], int],
+    ) -> bool:
+        """Take room for `count` tasks out of the pool, at most `cap` in a zone, and ask for
+        what is missing; says whether something was found for all of them."""
+        left = dict.fromkeys(zones, cap)
+        for view in pool:
+            if view.zone in left and view.allows(spec):
+                fit = min(count, left[view.zone], spec.size.times_in(view.free))
+                if fit > 0:
+                    take_times(view, spec, fit)
+                    left[view.zone] -= fit
+                    count -= fit
+        while count > 0 and sum(asked.values()) < MOST_AT_ONCE:
+            open_zones = [z for z in zones if left[z] > 0]
+            offer = self._best(now, spec, count, asked, open_zones)
+            if offer is None:
+                return False
+            key = (offer.type.name, offer.zone, offer.spot)
+            asked[key] = asked.get(key, 0) + 1
+            view = self._empty(f"new#{len(pool)}", offer.type, offer.zone, offer.spot)
+            fit = min(count, left[offer.zone], spec.size.times_in(view.free))
+            take_times(view, spec, fit)
+            left[offer.zone] -= fit
+            count -= fit
+            pool.append(view)
+        return count == 0
+
     def _best(
-        self, now: Seconds, spec: JobSpec, count: int, asked: dict[tuple[str, str, bool], int]
+        self,
+        now: Seconds,
+        spec: JobSpec,
+        count: int,
+        asked: dict[tuple[str, str, bool], int],
+        zones: list[str],
     ) -> Offer | None:
         """The offer with the lowest price for each task it would run now."""
         best: tuple[float, float, Offer] | None = None
-        for offer in self._offers(now, spec):
+        for offer in self._offers(now, spec, zones):
             slots = min(count, spec.size.times_in(offer.type.size))
             # Machines of one kind and zone are few: ask for some elsewhere too.
             crowd = asked.get((offer.type.name, offer.zone, offer.spot), 0)
--- a/src/dapplewick/core/leader.py
+++ b/src/dapplewick/core/leader.py
@@ -13,7 +13,7 @@
 from dapplewick.config import Settings
 from dapplewick.core.estimates import Estimates
 from dapplewick.core.fleet import IDLE_S, Fleet, Need, wanted_slots
-from dapplewick.core.model import View, fit_all, fit_held, view_of
+from dapplewick.core.model import View, fit_all, fit_held, room_for, take_most, view_of
 from dapplewick.protocol.wire import JobSpec, Listed, MachineList, MachineType, types_value
 from dapplewick.storage.records import (
     BOOKINGS,
@@ -256,9 +256,8 @@
         views: dict[Zone, list[View]] = {}
         by_id: dict[str, View] = {}
         for zone, status in self.status.items():
-            if (
-                now - status.at > STATUS_S
-                or status.body["token"] != self.mirror.version(PARTS + zone)
+            if now - status.at > STATUS_S or status.body["token"] != self.mirror.version(
+                PARTS + zone
             ):
                 continue
             views[zone] = []
@@ -274,18 +273,18 @@
             job = self._job(job_id)
             if job.gang is not None:
                 for zone_name, machine_id in job.gang.places:
-                    status = self.status.get(Zone(zone_name))
-                    if machine_id in by_id and status and status.seen < job.version:
+                    said = self.status.get(Zone(zone_name))
+                    if machine_id in by_id and said is not None and said.seen < job.version:
                         by_id[machine_id].take(job.spec.size)
             for zone_name, tasks in job.grants.items():
                 zone = Zone(zone_name)
                 if zone not in views:
                     continue
-                said = self.status[zone].body["jobs"].get(job_id)
-                placed = said["placed"] if said is not None else 0
+                body = self.status[zone].body["jobs"].get(job_id)
+                placed = body["placed"] if body is not None else 0
                 backlog = len(tasks) - placed
                 if backlog > 0:
-                    _take(views[zone], job.spec, backlog)
+                    take_most(views[zone], job.spec, backlog)
         return views
 
     # Gangs
@@ -355,8 +354,8 @@
             return held[1], held[2]
         if not spec.one_zone:
             spanning: list[View] = []
-            for zone_views in sorted(views.values(), key=lambda z: -_slots(z, spec)):
-                most = min(count - len(spanning), spec.zone_cap, _slots(zone_views, spec))
+            for zone_views in sorted(views.values(), key=lambda z: -room_for(z, spec)):
+                most = min(count - len(spanning), spec.zone_cap, room_for(zone_views, spec))
                 if most > 0:
                     spanning += fit_all(zone_views, spec, most) or []
                 if len(spanning) == count:
@@ -389,15 +388,13 @@
             cpus += job.spec.cpus * left
             gpus += job.spec.gpus * left
             used[team.name] = (cpus, gpus)
-            if job.spec.gpus > 0 and gpus <= team.gpus + 1e-6:
-                within.add(job_id)
-            elif team.cpus > 0 and job.spec.gpus == 0 and cpus <= team.cpus + 1e-6:
+            with_gpus = job.spec.gpus > 0 and gpus <= team.gpus + 1e-6
+            cpus_only = job.spec.gpus == 0 and team.cpus > 0 and cpus <= team.cpus + 1e-6
+            if with_gpus or cpus_only:
                 within.add(job_id)
         return within
 
-    def _singles(
-        self, wall: Seconds, usage: dict[str, Size]
-    ) -> list[tuple[JobId, JobRecord, int]]:
+    def _singles(self, wall: Seconds, usage: dict[str, Size]) -> list[tuple[JobId, JobRecord, int]]:
         """Open arrays with tasks that are not granted, in the order in which they are served."""
         jobs = [(j, self._job(j)) for j in self.mirror.live_jobs]
         jobs = [(j, job) for j, job in jobs if job.open and not job.spec.gang]
@@ -487,12 +484,12 @@
             if holders:
                 zones = [z for z in zones if z in holders]
             elif zones:
-                zones = [max(zones, key=lambda z: _slots(views[z], spec))]
+                zones = [max(zones, key=lambda z: room_for(views[z], spec))]
         shares: dict[Zone, int] = {}
-        zones.sort(key=lambda z: -_slots(views[z], spec))
+        zones.sort(key=lambda z: -room_for(views[z], spec))
         for zone in zones:
             most = min(count, spec.zone_cap - len(job.granted(zone)))
-            share = _take(views[zone], spec, most) if most > 0 else 0
+            share = take_most(views[zone], spec, most) if most > 0 else 0
             shares[zone] = share
             count -= share
         for zone in zones:
@@ -558,9 +555,7 @@
         value = {k: getattr(record, k) for k in record.__struct_fields__}
         return Change(key, value, self.mirror.version(key), rank)
 
-    def _why_go(
-        self, now: Seconds, machine_id: MachineId, record: MachineRecord, body: Any
-    ) -> str:
+    def _why_go(self, now: Seconds, machine_id: MachineId, record: MachineRecord, body: Any) -> str:
         if not record.up:
             since = self._up_since.setdefault(machine_id, now)
             return "never up" if now - since > self.fleet.boot_limit(record.type) else ""
@@ -597,9 +592,7 @@
                 del self.rented[name]
                 continue
             key = BOOKINGS + name
-            if machines is None:
-                self.fleet.no_capacity(now, booking)
-            elif len(machines) < booking.count:
+            if machines is None or len(machines) < booking.count:
                 self.fleet.no_capacity(now, booking)
             for machine_id in machines or []:
                 if machine_id not in self.mirror.machines:
@@ -610,7 +603,7 @@
             changes.append(Change(key, None, self.mirror.version(key), 0))
         needs = self._needs(wall, ordered)
         if self._ready(now):
-            for asked in self.fleet.rent(now, needs):
+            for asked in self.fleet.rent(now, needs, [v for part in views.values() for v in part]):
                 self._counter += 1
                 name = f"r-{self.epoch}-{self._counter}"
                 value = {k: getattr(asked, k) for k in asked.__struct_fields__}
@@ -630,9 +623,7 @@
         fresh = {z for z, s in self.status.items() if now - s.at < STATUS_S}
         return bool(zones) and zones <= fresh
 
-    def _needs(
-        self, wall: Seconds, ordered: list[tuple[JobId, JobRecord, int]]
-    ) -> list[Need]:
+    def _needs(self, wall: Seconds, ordered: list[tuple[JobId, JobRecord, int]]) -> list[Need]:
         needs = []
         for job_id in sorted(self.mirror.live_jobs, key=lambda j: self.mirror.jobs[j].at):
             job = self._job(job_id)
@@ -702,22 +693,3 @@
 
 def _shape(kind: MachineType) -> tuple[Any, ...]:
     return (kind.name, kind.cpus, kind.gpus, kind.ram, kind.boot, tuple(kind.zones))
-
-
-def _slots(views: list[View], spec: JobSpec) -> int:
-    return sum(spec.size.times_in(v.free) for v in views if v.allows(spec))
-
-
-def _take(views: list[View], spec: JobSpec, most: int) -> int:
-    """Take idle room for up to `most` tasks; gives for how many there was some."""
-    taken = 0
-    for view in sorted(
-        (v for v in views if v.allows(spec)),
-        key=lambda v: v.capacity.gpus if spec.gpus == 0 else 0.0,
-    ):
-        count = min(most - taken, spec.size.times_in(view.free))
-        if count > 0:
-            size = spec.size
-            view.take(Size(size.cpus * count, size.gpus * count, size.ram * count))
-            taken += count
-    return taken
--- a/src/dapplewick/core/model.py
+++ b/src/dapplewick/core/model.py
@@ -140,3 +140,32 @@
         ends,
         int(status["queued"]),
     )
+
+
+def take_times(view: View, spec: JobSpec, count: int) -> None:
+    """Take the room of `count` tasks."""
+    size = spec.size
+    view.take(Size(size.cpus * count, size.gpus * count, size.ram * count))
+
+
+def room_for(views: Iterable[View], spec: JobSpec, zone: str | None = None) -> int:
+    """For how many tasks there is idle room, in one zone or in all."""
+    return sum(
+        spec.size.times_in(v.free)
+        for v in views
+        if v.allows(spec) and (zone is None or v.zone == zone)
+    )
+
+
+def take_most(views: Iterable[View], spec: JobSpec, most: int) -> int:
+    """Take idle room for up to `most` tasks; gives for how many there was some."""
+    taken = 0
+    for view in sorted(
+        (v for v in views if v.allows(spec)),
+        key=lambda v: v.capacity.gpus if spec.gpus == 0 else 0.0,
+    ):
+        count = min(most - taken, spec.size.times_in(view.free))
+        if count > 0:
+            take_times(view, spec, count)
+            taken += count
+    return taken
--- a/src/dapplewick/core/part.py
+++ b/src/dapplewick/core/part.py
@@ -181,6 +181,12 @@
             singles = self.singles.setdefault(job_id, {})
             for index in [i for i in singles if i not in granted]:
                 self._drop(TaskRef(job_id, TaskIndex(index)), singles.pop(index))
+            for index, single in singles.items():
+                # What was given back under an older version of the record and is granted in
+                # this one was granted anew, or was not yet heard: the leader only takes back
+                # what was said of the version that it changes. So it may run here again.
+                if single.state == RETURNED:
+                    self._again(now, TaskRef(job_id, TaskIndex(index)), single, failed=False)
             for index in sorted(granted - singles.keys()):
                 task = TaskRef(job_id, TaskIndex(index))
                 singles[index] = Single(UNSURE if takeover else WAITING, now)
@@ -304,7 +310,7 @@
 
     def _single(self, task: TaskRef) -> Single | None:
         singles = self.singles.get(task.job)
-        return singles.get(task.index) if singles is not None else None
+        return singles.get(task.number) if singles is not None else None
 
     def _not_before(self, task: TaskRef) -> Seconds:
         single = self._single(task)
@@ -429,10 +435,10 @@
         single = self._single(item.task)
         if single is not None:
             if single.state == ON and single.machine != machine.id:
-                log.error("event=two_places task=%s/%d", item.task.job, item.task.index)
+                log.error("event=two_places task=%s/%d", item.task.job, item.task.number)
                 return
             if single.state in (WAITING, ASSIGNED, RETURNED):
-                log.error("event=unexpected_task task=%s/%d", item.task.job, item.task.index)
+                log.error("event=unexpected_task task=%s/%d", item.task.job, item.task.number)
             if single.state != FINISHED:
                 if single.state != ON:
                     self._drop(item.task, single)
@@ -440,14 +446,15 @@
                 single.machine = machine.id
             return
         hold = self.holds.get(item.task.job)
-        if hold is not None and hold.attempt == item.attempt:
-            if hold.places.get(item.task.index) == machine.id:
-                hold.launched.add(item.task.index)
-                hold.seen.add(item.task.index)
-
-    def _exited(
-        self, now: Seconds, machine: Machine, item: TaskReport, live: Live
-    ) -> list[Order]:
+        if (
+            hold is not None
+            and hold.attempt == item.attempt
+            and hold.places.get(item.task.number) == machine.id
+        ):
+            hold.launched.add(item.task.number)
+            hold.seen.add(item.task.number)
+
+    def _exited(self, now: Seconds, machine: Machine, item: TaskReport, live: Live) -> list[Order]:
         """An exited task: keep a result until it is stored, forget everything else."""
         task = item.task
         job = self.mirror.jobs.get(task.job)
@@ -455,7 +462,7 @@
         forget = [Order("forget", task, item.attempt)]
         if item.cause == "done":
             machine.failures.clear()
-            if job is None or not job.open or task.index in job.done:
+            if job is None or not job.open or task.number in job.done:
                 self._remove_live(machine, task)
                 return forget
             hold = self.holds.get(task.job)
@@ -502,7 +509,12 @@
 
     def _leave_slot(self, machine: Machine, task: TaskRef) -> None:
         slot = machine.slot_of(task)
-        if slot is not None:
+        if slot is None:
+            return
+        # An old attempt whose `forget` was lost is reported again after its task was assigned
+        # anew to the same machine: that slot stays the task's.
+        single = self._single(task)
+        if single is None or single.queue is not slot:
             slot.current = None
 
     def _gone(self, now: Seconds, machine: Machine, task: TaskRef, why: str) -> None:
@@ -517,9 +529,15 @@
                 self._again(now, task, single, failed=False)
             return
         hold = self.holds.get(task.job)
-        if hold is not None and live is not None and hold.attempt == live.attempt:
-            if self.done_gangs.get(task.job) != hold.attempt and not hold.bad:
-                hold.bad = why
+        if (
+            hold is not None
+            and live is not None
+            and hold.attempt == live.attempt
+            and not live.sent
+            and not hold.bad
+            and self.done_gangs.get(task.job) != hold.attempt
+        ):
+            hold.bad = why
 
     def _again(self, now: Seconds, task: TaskRef, single: Single, failed: bool) -> None:
         single.state = WAITING
@@ -753,7 +771,7 @@
         self.dirty = True
         log.debug(
             "event=launch task=%s/%d attempt=%d machine=%s",
-            task.job, task.index, attempt, machine.id,
+            task.job, task.number, attempt, machine.id,
         )  # fmt: skip
         return Order("start", task, attempt)
 
@@ -761,9 +779,9 @@
         """Singles that find no room here go back to the leader, which may know better."""
         for job_id, singles in self.singles.items():
             for index, single in singles.items():
-                if single.state == WAITING and now - max(single.since, single.not_before) > (
-                    LONG_WAIT_S
-                ):
+                if single.state in (WAITING, ASSIGNED) and now - max(
+                    single.since, single.not_before
+                ) > (LONG_WAIT_S):
                     task = TaskRef(job_id, TaskIndex(index))
                     self._drop(task, single)
                     single.state = RETURNED
@@ -806,8 +824,8 @@
     def _useless(self, machine_id: MachineId) -> bool:
         record = self.mirror.machines.get(machine_id)
         machine = self.machines.get(machine_id)
-        return record is None or record.doomed or (
-            machine is not None and machine.notice is not None
+        return (
+            record is None or record.doomed or (machine is not None and machine.notice is not None)
         )
 
     def _gang_launches(self, now: Seconds, machine: Machine) -> list[Order]:
--- a/src/dapplewick/node.py
+++ b/src/dapplewick/node.py
@@ -5,6 +5,7 @@
 import logging
 import random
 import time
+from collections.abc import Callable
 from typing import Any
 
 import anyio
@@ -33,9 +34,7 @@
     NODES,
     PARTS,
     ROOT,
-    LeaderRecord,
     Mirror,
-    NodeRecord,
 )
 from dapplewick.transport.http import Answer, HttpClient, HttpError, Request, serve_connection
 from dapplewick.transport.peer import PeerLink, receive_frames
@@ -70,20 +69,30 @@
 class Node:
     """One controller process."""
 
-    def __init__(self, settings: Settings) -> None:
+    def __init__(
+        self,
+        settings: Settings,
+        *,
+        connect: Callable[[str, int], HttpClient] = HttpClient,
+        link: Callable[[str, int], PeerLink] = PeerLink,
+        clock: Callable[[], Seconds] = time.monotonic,
+        seed: int | None = None,
+    ) -> None:
         self.settings = settings
         self.me = NodeName(settings.host_name)
-        self.boot = f"{time.time_ns():x}-{random.getrandbits(32):x}"
+        self.now = clock
+        self.random = random.Random(seed)
+        self.boot = f"{time.time_ns():x}-{self.random.getrandbits(32):x}"
         deployment = settings.deployment
         host, port = host_port(settings.outside.state, "outside.state")
         rps = deployment.state.rps * SHARE / deployment.count
         writes = deployment.state.write_rps * SHARE
         self._few_writes = writes * (1 - LEADER_WRITES) / max(1, deployment.count - 1)
         self._many_writes = writes * LEADER_WRITES
-        self.state = StateClient(host, port, rps, self._few_writes)
+        self.state = StateClient(connect(host, port), rps, self._few_writes)
         self._check_gap = 1.0 / (0.4 * rps)
         host, port = host_port(settings.outside.cloud, "outside.cloud")
-        self.cloud = HttpClient(host, port)
+        self.cloud = connect(host, port)
         self.cloud_budget = Budget(deployment.cloud.rps * 0.8)
         self.mirror = Mirror()
         self.mirror.listeners.append(self._on_key)
@@ -100,7 +109,7 @@
         self.api = Api(self, deployment)
         self.links: dict[NodeName, PeerLink] = {}
         for peer in settings.peers:
-            self.links[NodeName(peer.host_name)] = PeerLink(
+            self.links[NodeName(peer.host_name)] = link(
                 *host_port(peer.peer_addr, "peers.peer_addr")
             )
         self._peer_state: dict[NodeName, tuple[Seconds, bool]] = {}
@@ -115,10 +124,6 @@
 
     # Time
 
-    @staticmethod
-    def now() -> Seconds:
-        return time.monotonic()
-
     @staticmethod
     def wall() -> Seconds:
         return time.time()
@@ -170,7 +175,7 @@
 
     async def _load(self) -> None:
         sent = self.now()
-        items, revision = await self.state.list(ROOT)
+        items, revision = await self.state.listing(ROOT)
         self.mirror.reload(items, revision)
         self.current_at = self.contact_at = sent
         self._apply_changed()
@@ -205,7 +210,7 @@
                 await self._follow(WATCH_MS)
             except (Refused, Unknown) as err:
                 log.debug("event=watch_failed error=%s", err)
-                await anyio.sleep(0.2 + random.random() * 0.3)
+                await anyio.sleep(0.2 + self.random.random() * 0.3)
 
     async def current(self) -> None:
         """Return once the mirror is known to be as new as when this was called."""
@@ -255,7 +260,7 @@
                 continue
             except (Refused, Unknown) as err:
                 log.debug("event=renew_failed error=%s", err)
-                await anyio.sleep(0.3 + random.random() * 0.2)
+                await anyio.sleep(0.3 + self.random.random() * 0.2)
                 continue
             await anyio.sleep(RENEW_S)
 
@@ -276,7 +281,7 @@
             return
         if self.cores:
             # Controllers without a part lead by preference.
-            await anyio.sleep(0.3 + random.random() * 0.2)
+            await anyio.sleep(0.3 + self.random.random() * 0.2)
             if self.mirror.leader is not None and not mine:
                 return
         await self._write_leader()
@@ -304,7 +309,7 @@
                     await self._lead()
             except (Refused, Unknown, Conflict, NoLease) as err:
                 log.debug("event=leader_pass_failed error=%r", err)
-                await anyio.sleep(0.1 + random.random() * 0.1)
+                await anyio.sleep(0.1 + self.random.random() * 0.1)
             except Exception:
                 log.exception("event=leader_pass_broken")
                 await anyio.sleep(0.5)
@@ -373,10 +378,10 @@
                     continue
                 now = self.now()
                 for name in self.mirror.bookings:
-                    if name not in self._renting and name not in leader.rented:
-                        if self.cloud_budget.take():
-                            self._renting.add(name)
-                            group.start_soon(self._rent, leader, name)
+                    new = name not in self._renting and name not in leader.rented
+                    if new and self.cloud_budget.take():
+                        self._renting.add(name)
+                        group.start_soon(self._rent, leader, name)
                 doomed = [
                     m
                     for m, r in self.mirror.machines.items()
@@ -419,9 +424,7 @@
 
     async def _delete(self, leader: LeaderCore, machines: list[MachineId]) -> None:
         try:
-            status, _ = await self._cloud_call(
-                "POST", "/hosts/delete", wire.delete_body(machines)
-            )
+            status, _ = await self._cloud_call("POST", "/hosts/delete", wire.delete_body(machines))
             if status == 200:
                 leader.machines_deleted(machines)
                 self._leader_wake.set()
@@ -510,7 +513,7 @@
             for link in self.links.values():
                 link.post("node", message)
 
-    def _on_message(self, message: dict[str, Any]) -> None:
+    def on_message(self, message: dict[str, Any]) -> None:
         kind = message.get("kind")
         if kind == "part":
             if self.leader is not None:
@@ -586,6 +589,13 @@
         clients = await anyio.create_tcp_listener(local_host=host, local_port=port, backlog=1024)
         host, port = host_port(self.settings.peer_listen, "peer_listen")
         peers = await anyio.create_tcp_listener(local_host=host, local_port=port)
+        async with anyio.create_task_group() as group:
+            group.start_soon(self.run_loops)
+            group.start_soon(self._serve_peers, peers)
+            await clients.serve(lambda stream: serve_connection(stream, self.handle))
+
+    async def run_loops(self) -> None:
+        """All that a controller does besides answering."""
         async with anyio.create_task_group() as group:
             for link in self.links.values():
                 group.start_soon(link.run)
@@ -599,11 +609,9 @@
                 self._gossip_loop,
             ):
                 group.start_soon(self._forever, loop)
-            group.start_soon(self._serve_peers, peers)
-            await clients.serve(lambda stream: serve_connection(stream, self.handle))
 
-    async def _serve_peers(self, listener: anyio.abc.SocketListener) -> None:
-        await listener.serve(lambda stream: receive_frames(stream, self._on_message))
+    async def _serve_peers(self, listener: anyio.abc.Listener[anyio.abc.SocketStream]) -> None:
+        await listener.serve(lambda stream: receive_frames(stream, self.on_message))
 
     async def _forever(self, loop: Any) -> None:
         """Run a loop; one that breaks is logged and started again, and ends nothing else."""
@@ -613,6 +621,3 @@
             except Exception:
                 log.exception("event=loop_broken loop=%s", loop.__name__)
                 await anyio.sleep(0.5)
-
-
-__all__ = ["LeaderRecord", "Node", "NodeRecord"]
--- a/src/dapplewick/protocol/wire.py
+++ b/src/dapplewick/protocol/wire.py
@@ -251,7 +251,7 @@
     for order in orders:
         item: dict[str, Any] = {
             "verb": _VERBS[order.op],
-            "piece": f"{order.task.job}/{order.task.index}",
+            "piece": f"{order.task.job}/{order.task.number}",
             "try": order.attempt,
         }
         if order.op == "stop":
--- a/src/dapplewick/storage/client.py
+++ b/src/dapplewick/storage/client.py
@@ -45,7 +45,7 @@
     def __init__(self, rate: float) -> None:
         self.rate = rate
         self._level = rate
-        self._at = anyio.current_time()
+        self._at = -1e9
 
     def take(self, amount: float = 1.0, reserve: float = 0.0) -> bool:
         """Take an amount; `reserve` is left for calls that matter more."""
@@ -61,8 +61,8 @@
 class StateClient:
     """Calls of the state service. Over the budget a call is refused here, not there."""
 
-    def __init__(self, host: str, port: int, rps: float, write_rps: float) -> None:
-        self._http = HttpClient(host, port)
+    def __init__(self, http: HttpClient, rps: float, write_rps: float) -> None:
+        self._http = http
         self.calls = Budget(rps)
         self.writes = Budget(write_rps)
 
@@ -94,7 +94,7 @@
         item = wire.key_item.decode(answer)
         return item.value, item.version
 
-    async def list(self, prefix: str) -> tuple[dict[str, tuple[Any, int]], int]:
+    async def listing(self, prefix: str) -> tuple[dict[str, tuple[Any, int]], int]:
         """All keys with a prefix, and a revision from which changes are to be followed."""
         items: dict[str, tuple[Any, int]] = {}
         since = ""
--- a/src/dapplewick/types.py
+++ b/src/dapplewick/types.py
@@ -24,7 +24,7 @@
     """One task of one job."""
 
     job: JobId
-    index: TaskIndex
+    number: TaskIndex
 
 
 class Size(NamedTuple):
--- /dev/null
+++ b/tests/test_days.py
@@ -0,0 +1,183 @@
+"""Whole days against the stand-ins: every rule is checked as the day goes."""
+
+from __future__ import annotations
+
+from collections.abc import Awaitable, Callable
+
+import anyio
+import pytest
+
+from standins import World, now, run_day
+
+Fault = Callable[[World], Awaitable[None]]
+
+
+async def quiet(world: World) -> None:
+    pass
+
+
+async def one_crash(world: World) -> None:
+    await anyio.sleep(30)
+    name = world.random.choice(world.names)
+    world.crash(name)
+    await anyio.sleep(3)
+    world.start_node(name)
+
+
+async def all_crash(world: World) -> None:
+    for pause in (25, 20):
+        await anyio.sleep(pause)
+        for name in world.names:
+            world.crash(name)
+        await anyio.sleep(world.random.choice([0.2, 3.0]))
+        for name in world.names:
+            world.start_node(name)
+
+
+async def roll(world: World) -> None:
+    await anyio.sleep(15)
+    for name in world.names:
+        await anyio.sleep(12)
+        world.crash(name)
+        await anyio.sleep(world.random.choice([0.1, 4.0]))
+        world.start_node(name)
+
+
+async def quick_restarts(world: World) -> None:
+    for _ in range(12):
+        await anyio.sleep(world.random.uniform(2.0, 9.0))
+        name = world.random.choice(world.names)
+        world.crash(name)
+        await anyio.sleep(world.random.choice([0.05, 0.3]))
+        world.start_node(name)
+
+
+async def refused_by_state(world: World) -> None:
+    await anyio.sleep(25)
+    owner = sorted(n for n, node in world.nodes.items() if node.cores)[0]
+    world.modes[(owner, "state")] = "refused"
+    await anyio.sleep(40)
+    del world.modes[(owner, "state")]
+
+
+async def cut_from_state(world: World) -> None:
+    await anyio.sleep(25)
+    owner = sorted(n for n, node in world.nodes.items() if node.cores)[-1]
+    world.modes[(owner, "state")] = "cut"
+    world.cut_peers.add(owner)
+    await anyio.sleep(45)
+    world.modes.clear()
+    world.cut_peers.clear()
+
+
+async def cut_from_workers(world: World) -> None:
+    await anyio.sleep(25)
+    world.cut_workers.add(sorted(n for n, node in world.nodes.items() if node.cores)[0])
+    await anyio.sleep(30)
+    world.cut_workers.clear()
+
+
+async def state_outage(world: World) -> None:
+    await anyio.sleep(30)
+    world.state.set_down(True)
+    await anyio.sleep(20)
+    world.state.set_down(False)
+
+
+async def lost_answers(world: World) -> None:
+    for name in world.names:
+        world.modes[(name, "state")] = "lossy"
+        world.modes[(name, "cloud")] = "lossy"
+    await anyio.sleep(90)
+    world.modes.clear()
+
+
+async def cloud_outage(world: World) -> None:
+    await anyio.sleep(15)
+    world.cloud.down = True
+    await anyio.sleep(30)
+    world.cloud.down = False
+
+
+async def bad_machines(world: World) -> None:
+    for _ in range(10):
+        await anyio.sleep(10)
+        if not world.workers:
+            continue
+        worker = world.workers[world.random.choice(sorted(world.workers))]
+        trouble = world.random.choice(["hang", "cut", "taken", "notice"])
+        if trouble == "taken":
+            world.remove_machine(worker.name)
+        elif trouble == "notice":
+            worker.notice = 10.0
+            worker.changed = True
+        else:
+            attribute = "hanging" if trouble == "hang" else "cut"
+            setattr(worker, attribute, True)
+
+            async def over(worker: object = worker, attribute: str = attribute) -> None:
+                await anyio.sleep(world.random.uniform(5, 40))
+                setattr(worker, attribute, False)
+
+            world.group.start_soon(over)
+
+
+async def everything(world: World) -> None:
+    faults = [one_crash, cut_from_state, lost_answers, bad_machines, cloud_outage]
+    async with anyio.create_task_group() as group:
+        for fault in faults:
+            group.start_soon(fault, world)
+
+
+def play(fault: Fault, seed: int, jobs: int = 14, length: float = 240.0) -> World:
+    world = World(seed)
+
+    async def script() -> None:
+        async with anyio.create_task_group() as group:
+            group.start_soon(fault, world)
+            await anyio.sleep(2)
+            for n in range(jobs):
+                await anyio.sleep(world.random.uniform(0.5, 6.0))
+                body = world.random_job() | {"name_id": f"run-{n:06d}"}
+                cancel = world.random.uniform(3, 30) if world.random.random() < 0.25 else None
+                group.start_soon(world.user, body["name_id"], body, cancel)
+
+    async def main() -> None:
+        await world.play(length, script)
+
+    run_day(main)
+    return world
+
+
+FAULTS = [
+    quiet, one_crash, all_crash, roll, quick_restarts, refused_by_state, cut_from_state,
+    cut_from_workers, state_outage, lost_answers, cloud_outage, bad_machines, everything,
+]  # fmt: skip
+
+
+@pytest.mark.parametrize("seed", [1, 2])
+@pytest.mark.parametrize("fault", FAULTS, ids=lambda f: f.__name__)
+def test_rules_hold_and_service_comes_back(fault: Fault, seed: int) -> None:
+    world = play(fault, seed)
+    assert world.broken == []
+    assert len(world.accepted) == 14
+    unfinished = {j: s for j, s in world.told.items() if s not in ("done", "withdrawn")}
+    assert unfinished == {}
+    assert world.starts > 20
+
+
+def test_the_same_day_twice_is_the_same() -> None:
+    first, second = play(all_crash, 3), play(all_crash, 3)
+    assert (first.starts, first.told) == (second.starts, second.told)
+
+
+def test_now_is_virtual() -> None:
+    seen = []
+
+    async def main() -> None:
+        begun = now()
+        await anyio.sleep(3600)
+        seen.append(now() - begun)
+
+    run_day(main)
+    assert 3600 <= seen[0] < 3601
