--- a/src/dapplewick/core/fleet.py
+++ b/src/dapplewick/core/fleet.py
@@ -126,7 +126,7 @@
         left = dict.fromkeys(zones, cap)
         for view in pool:
             if view.zone in left and view.allows(spec):
-                fit = min(count, left[view.zone], spec.size.times_in(view.free))
+                fit = min(count, left[view.zone], view.times(spec))
                 if fit > 0:
                     take_times(view, spec, fit)
                     left[view.zone] -= fit
@@ -139,7 +139,7 @@
             key = (offer.type.name, offer.zone, offer.spot)
             asked[key] = asked.get(key, 0) + 1
             view = self._empty(f"new#{len(pool)}", offer.type, offer.zone, offer.spot)
-            fit = min(count, left[offer.zone], spec.size.times_in(view.free))
+            fit = min(count, left[offer.zone], view.times(spec))
             take_times(view, spec, fit)
             left[offer.zone] -= fit
             count -= fit
--- a/src/dapplewick/core/leader.py
+++ b/src/dapplewick/core/leader.py
@@ -11,6 +11,7 @@
 from typing import Any, NamedTuple
 
 from dapplewick.config import Settings
+from dapplewick.core.demand import AcceleratorDemand
 from dapplewick.core.estimates import Estimates
 from dapplewick.core.fleet import IDLE_S, Fleet, Need, wanted_slots
 from dapplewick.core.model import View, fit_all, fit_held, room_for, take_most, view_of
@@ -45,6 +46,7 @@
 PATIENCE_S = 4.0  # a gang waits this long before work of lower priority is stopped for it
 HORIZON_S = 60.0  # waiting singles should all have started within this time
 QUEUE_LEAST = 2
+LOAD_LOG_S = 10.0
 QUEUE_SHARE = 0.15  # singles queued in a part, beyond what fits, by running ones
 
 
@@ -74,6 +76,7 @@
         self.estimates = estimates
         self.epoch = epoch
         self.started = now
+        self.demand = AcceleratorDemand(mirror)
         self.fleet = Fleet(mirror, settings.deployment.zones, epoch)
         self.status: dict[Zone, PartStatus] = {}
         self.rented: dict[str, list[MachineId] | None] = {}
@@ -87,6 +90,7 @@
         self._stored_at: dict[JobId, Seconds] = {}
         self._low: dict[JobId, int] = {}
         self._teams = {t.name: t for t in self.settings.teams}
+        self._load_at = now
         self._up_since: dict[MachineId, Seconds] = {}
 
     # Inputs
@@ -144,6 +148,7 @@
         changes: list[Change] = []
         self._absorb(now)
         changes += self._machine_changes(now, wall)
+        self.demand.update(now)
         usage = self._usage()
         views = self._views(now)
         self._place_gangs(now, wall, views, usage)
@@ -156,8 +161,35 @@
             self._stored_at[job_id] = now
             changes.append(Change(JOBS + job_id, job.dump(), job.version, rank))
         changes.sort(key=lambda c: c.rank)
+        if log.isEnabledFor(logging.DEBUG) and now - self._load_at > LOAD_LOG_S:
+            self._load_at = now
+            self._log_load(views, ordered)
         return changes
 
+    def _log_load(
+        self, views: dict[Zone, list[View]], ordered: list[tuple[JobId, JobRecord, int]]
+    ) -> None:
+        """What there is and what waits, for those who look for a cause."""
+        kinds: dict[str, list[float]] = {}
+        for view in (v for part in views.values() for v in part):
+            row = kinds.setdefault(view.type + ("/spot" if view.spot else ""), [0, 0.0, 0.0])
+            row[0] += 1
+            row[1] += view.free.cpus
+            row[2] += view.free.gpus
+        waiting: dict[str, int] = {}
+        for _, job, left in ordered:
+            waiting[job.spec.bundle] = waiting.get(job.spec.bundle, 0) + left
+        held = gangs = 0
+        for job_id in self.mirror.live_jobs:
+            job = self._job(job_id)
+            if job.spec.gang and job.open:
+                gangs += job.gang is None
+                held += job.gang is not None
+        log.debug(
+            "event=load rooms=%s coming=%d ungranted=%s gangs_waiting=%d gangs_placed=%d",
+            kinds, len(self.fleet.coming()), waiting, gangs, held,
+        )  # fmt: skip
+
     def _absorb(self, now: Seconds) -> None:
         """Take over what the parts report of their jobs."""
         for zone, status in self.status.items():
@@ -266,7 +298,9 @@
                 kind = self.mirror.types.get(record.type) if record is not None else None
                 if record is None or kind is None or record.doomed or not body["usable"]:
                     continue
-                view = view_of(machine_id, record.type, zone, record.spot, kind.size, body)
+                view = view_of(
+                    machine_id, record.type, zone, record.spot, kind.size, body, self.demand
+                )
                 views[zone].append(view)
                 by_id[machine_id] = view
         for job_id in self.mirror.live_jobs:
@@ -345,7 +379,7 @@
                 if option is not None:
                     wait = 0.0
                     for view in option[0]:
-                        times = view.room_in(spec.size, spec.rank)
+                        times = view.room_in(spec)
                         if times is not None:
                             wait = max(wait, times[1] if option[1] else times[0])
                     if held is None or wait < held[0]:
--- a/src/dapplewick/core/model.py
+++ b/src/dapplewick/core/model.py
@@ -5,6 +5,7 @@
 from collections.abc import Iterable
 from typing import Any
 
+from dapplewick.core.demand import AcceleratorDemand
 from dapplewick.protocol.wire import JobSpec
 from dapplewick.types import MachineId, Seconds, Size, TypeName, Zone
 
@@ -12,7 +13,7 @@
 class View:
     """One machine as the leader plans with it."""
 
-    __slots__ = ("capacity", "ends", "free", "id", "queued", "spot", "type", "zone")
+    __slots__ = ("capacity", "demand", "ends", "free", "id", "queued", "spot", "type", "zone")
 
     def __init__(
         self,
@@ -24,6 +25,7 @@
         free: Size,
         ends: list[tuple[Seconds, Size, int]],
         queued: int,
+        demand: AcceleratorDemand | None = None,
     ) -> None:
         self.id = machine
         self.type = type_
@@ -33,6 +35,16 @@
         self.free = free
         self.ends = ends
         self.queued = queued
+        self.demand = demand
+
+    def room(self, spec: JobSpec) -> Size:
+        """The free room that this work may use."""
+        if spec.gpus > 0 or self.demand is None:
+            return self.free
+        return self.free.minus(self.demand.reserve(self.capacity, self.free))
+
+    def times(self, spec: JobSpec) -> int:
+        return spec.size.times_in(self.room(spec))
 
     def allows(self, spec: JobSpec) -> bool:
         return (
@@ -41,14 +53,14 @@
             and (spec.zone is None or spec.zone == self.zone)
         )
 
-    def room_in(self, size: Size, rank: int) -> tuple[Seconds, Seconds] | None:
+    def room_in(self, spec: JobSpec) -> tuple[Seconds, Seconds] | None:
         """When the singles here will have made room: by themselves, and with those below a
         rank stopped. None if they never do."""
-        room = self.free
+        size, rank = spec.size, spec.rank
+        room = forced = self.room(spec)
         if size.fits(room):
             return 0.0, 0.0
         natural = stopped = -1.0
-        forced = self.free
         for left, taken, other in self.ends:
             room = room.plus(taken)
             if other < rank:
@@ -76,12 +88,12 @@
 def fit_all(views: Iterable[View], spec: JobSpec, count: int) -> list[View] | None:
     """Machines for `count` tasks in idle room, or None; takes nothing yet."""
     able = sorted(
-        (v for v in views if v.allows(spec) and spec.size.fits(v.free)),
+        (v for v in views if v.allows(spec) and v.times(spec) > 0),
         key=lambda v: spare_key(v, spec),
     )
     chosen: list[View] = []
     for view in able:
-        chosen.extend([view] * min(count - len(chosen), spec.size.times_in(view.free)))
+        chosen.extend([view] * min(count - len(chosen), view.times(spec)))
         if len(chosen) == count:
             return chosen
     return None
@@ -97,7 +109,7 @@
     for n, view in enumerate(views):
         if not view.allows(spec):
             continue
-        times = view.room_in(spec.size, spec.rank)
+        times = view.room_in(spec)
         if times is None:
             continue
         natural, forced = times
@@ -110,7 +122,7 @@
     for _, _, _, view in options:
         saved = view.free
         while len(chosen) < count:
-            times = view.room_in(spec.size, spec.rank)
+            times = view.room_in(spec)
             if times is None:
                 break
             if times[0] > patience and times[1] < times[0]:
@@ -124,7 +136,13 @@
 
 
 def view_of(
-    machine: MachineId, type_: str, zone: str, spot: bool, capacity: Size, status: dict[str, Any]
+    machine: MachineId,
+    type_: str,
+    zone: str,
+    spot: bool,
+    capacity: Size,
+    status: dict[str, Any],
+    demand: AcceleratorDemand,
 ) -> View:
     ends = [
         (float(left), Size(cpus, gpus, ram), int(rank))
@@ -139,6 +157,7 @@
         Size(*status["free"]),
         ends,
         int(status["queued"]),
+        demand,
     )
 
 
@@ -150,11 +169,7 @@
 
 def room_for(views: Iterable[View], spec: JobSpec, zone: str | None = None) -> int:
     """For how many tasks there is idle room, in one zone or in all."""
-    return sum(
-        spec.size.times_in(v.free)
-        for v in views
-        if v.allows(spec) and (zone is None or v.zone == zone)
-    )
+    return sum(v.times(spec) for v in views if v.allows(spec) and (zone is None or v.zone == zone))
 
 
 def take_most(views: Iterable[View], spec: JobSpec, most: int) -> int:
@@ -164,7 +179,7 @@
         (v for v in views if v.allows(spec)),
         key=lambda v: v.capacity.gpus if spec.gpus == 0 else 0.0,
     ):
-        count = min(most - taken, spec.size.times_in(view.free))
+        count = min(most - taken, view.times(spec))
         if count > 0:
             take_times(view, spec, count)
             taken += count
--- a/src/dapplewick/core/part.py
+++ b/src/dapplewick/core/part.py
@@ -12,6 +12,7 @@
 from collections.abc import Iterator
 from typing import Any
 
+from dapplewick.core.demand import AcceleratorDemand
 from dapplewick.core.estimates import Estimates
 from dapplewick.protocol.wire import JobSpec, Order, Report, TaskReport
 from dapplewick.storage.records import JobRecord, Mirror
@@ -158,6 +159,8 @@
         self.done_gangs: dict[JobId, int] = {}
         self.strangers: dict[MachineId, Report] = {}
         self.dirty = True
+        self.demand = AcceleratorDemand(mirror)
+        self.demand.update(now)
         self._attempts = 0
         # Tasks granted before this ownership may be on any machine the old owner could use:
         # until each of those was heard under our token, or is deleted, they wait.
@@ -282,6 +285,7 @@
 
     def tick(self, now: Seconds) -> None:
         """Time has passed."""
+        self.demand.update(now)
         if self.later:
             ready = [t for t in self.later if self._not_before(t) <= now]
             if ready:
@@ -354,6 +358,13 @@
     def _free(self, machine: Machine) -> Size:
         return machine.capacity.minus(self._used(machine))
 
+    def _free_for(self, machine: Machine, spec: JobSpec) -> Size:
+        """The free room that this work may use."""
+        free = self._free(machine)
+        if spec.gpus > 0:
+            return free
+        return free.minus(self.demand.reserve(machine.capacity, free))
+
     def _held_on(self, machine_id: MachineId) -> list[tuple[JobId, Hold, int]]:
         """Held slots of this machine whose start has not gone out."""
         return [
@@ -597,7 +608,7 @@
             able = self.random.sample(able, SAMPLE)
         best: tuple[tuple[float, ...], Machine] | None = None
         for machine in able:
-            free = self._free(machine)
+            free = self._free_for(machine, spec)
             if not spec.size.fits(free.minus(self._held_size(machine.id))):
                 continue
             spare_gpus = machine.capacity.gpus if spec.gpus == 0 else 0.0
@@ -606,7 +617,9 @@
                 best = (key, machine)
         if best is None:
             for machine in able:
-                if spec.size.fits(self._free(machine)) and self._passes(now, spec, machine):
+                if spec.size.fits(self._free_for(machine, spec)) and self._passes(
+                    now, spec, machine
+                ):
                     best = ((), machine)
                     break
         if best is not None:
@@ -674,8 +687,7 @@
 
     def _next(self, now: Seconds, machine: Machine, queue: deque[TaskRef]) -> TaskRef | None:
         """The first single of a queue that may start on this machine now."""
-        free = self._free(machine)
-        unheld = free.minus(self._held_size(machine.id))
+        held = self._held_size(machine.id)
         for task in queue:
             spec = self._spec(task)
             single = self._single(task)
@@ -683,7 +695,8 @@
                 continue
             if not self._allowed(spec, machine):
                 continue
-            if spec.size.fits(unheld) or (
+            free = self._free_for(machine, spec)
+            if spec.size.fits(free.minus(held)) or (
                 spec.size.fits(free) and self._passes(now, spec, machine)
             ):
                 return task
--- a/src/dapplewick/node.py
+++ b/src/dapplewick/node.py
@@ -359,6 +359,7 @@
             log.info("event=write_unknown keys=%d", len(changes))
             await self._write_leader()
             raise
+        log.debug("event=written revision=%d keys=%s", version, ",".join(conditions))
         for key, value in puts.items():
             self.mirror.put(key, value, version)
         for key in deletes:
