--- a/src/dapplewick/core/leader.py
+++ b/src/dapplewick/core/leader.py
@@ -47,6 +47,7 @@
 HORIZON_S = 60.0  # waiting singles should all have started within this time
 QUEUE_LEAST = 2
 LOAD_LOG_S = 10.0
+LONG_HOLD_S = 10.0  # gangs that hold slots for longer want more machines
 QUEUE_SHARE = 0.15  # singles queued in a part, beyond what fits, by running ones
 
 
@@ -234,7 +235,7 @@
                 status = self.status.get(Zone(zone))
                 state = "unknown"
                 if status is not None and status.seen >= old.version:
-                    attempt, said = status.body["gangs"].get(job_id, (0, "unknown"))
+                    attempt, said, _ = status.body["gangs"].get(job_id, (0, "unknown", 0.0))
                     state = said if attempt == gang.attempt else "unknown"
                 states.append(state)
             if old.open and "done" in states:
@@ -475,21 +476,26 @@
     ) -> None:
         """Parts get singles by their free room, and a few more for their queues."""
         queue_room = self._queue_room(views)
-        for job_id, job, left in ordered:
-            spec = job.spec
-            count = min(left, self._within_limit(spec, usage))
-            if count <= 0:
-                continue
-            shares = self._shares(spec, job, views, queue_room, count)
-            total = sum(shares.values())
-            if not total:
-                continue
-            tasks = self._next_tasks(job_id, job, total)
-            draft = self._edit(job_id, 1)
-            for zone, share in shares.items():
-                mine, tasks = tasks[:share], tasks[share:]
-                draft.grants[zone] = draft.granted(zone) | set(mine)
-            self._spend(spec, total, usage)
+        # Rooms go first to work whose image is there: a fetch keeps them from all work.
+        for warm in (True, False):
+            for job_id, job, left in ordered:
+                spec = job.spec
+                job = self._job(job_id)
+                granted = sum(len(tasks) for tasks in job.grants.values())
+                left = spec.tasks - len(job.done) - granted
+                count = min(left, self._within_limit(spec, usage))
+                if count <= 0:
+                    continue
+                shares = self._shares(spec, job, views, queue_room, count, warm)
+                total = sum(shares.values())
+                if not total:
+                    continue
+                tasks = self._next_tasks(job_id, job, total)
+                draft = self._edit(job_id, 1)
+                for zone, share in shares.items():
+                    mine, tasks = tasks[:share], tasks[share:]
+                    draft.grants[zone] = draft.granted(zone) | set(mine)
+                self._spend(spec, total, usage)
 
     def _queue_room(self, views: dict[Zone, list[View]]) -> dict[Zone, int]:
         room = {}
@@ -511,6 +517,7 @@
         views: dict[Zone, list[View]],
         queue_room: dict[Zone, int],
         count: int,
+        warm: bool,
     ) -> dict[Zone, int]:
         zones = [z for z in views if any(v.allows(spec) for v in views[z])]
         if spec.one_zone:
@@ -523,10 +530,10 @@
         zones.sort(key=lambda z: -room_for(views[z], spec))
         for zone in zones:
             most = min(count, spec.zone_cap - len(job.granted(zone)))
-            share = take_most(views[zone], spec, most) if most > 0 else 0
+            share = take_most(views[zone], spec, most, warm) if most > 0 else 0
             shares[zone] = share
             count -= share
-        for zone in zones:
+        for zone in zones if not warm else ():
             most = min(count, spec.zone_cap - len(job.granted(zone)) - shares[zone])
             extra = min(most, queue_room[zone])
             if extra > 0:
@@ -661,7 +668,9 @@
         needs = []
         for job_id in sorted(self.mirror.live_jobs, key=lambda j: self.mirror.jobs[j].at):
             job = self._job(job_id)
-            if job.spec.gang and job.open and job.gang is None:
+            if not job.spec.gang or not job.open:
+                continue
+            if job.gang is None or self._long_held(job_id, job.gang):
                 needs.append(Need(job.spec, job.spec.tasks, True))
         groups: dict[Any, list[tuple[JobId, JobRecord, int]]] = {}
         for entry in ordered:
@@ -691,6 +700,16 @@
                 needs.append(Need(largest, count, False))
         return needs
 
+    def _long_held(self, job_id: JobId, gang: GangPlace) -> bool:
+        """Whether a gang's slots will still be busy for long: more room is wanted then."""
+        for zone in gang.zones():
+            status = self.status.get(Zone(zone))
+            if status is not None:
+                attempt, state, wait = status.body["gangs"].get(job_id, (0, "", 0.0))
+                if attempt == gang.attempt and state == "held" and wait > LONG_HOLD_S:
+                    return True
+        return False
+
     def _returns(self, now: Seconds, needs: list[Need]) -> list[Change]:
         """Machines that have been idle for a while go back, unless something waits for them."""
         changes = []
--- a/src/dapplewick/core/model.py
+++ b/src/dapplewick/core/model.py
@@ -13,7 +13,18 @@
 class View:
     """One machine as the leader plans with it."""
 
-    __slots__ = ("capacity", "demand", "ends", "free", "id", "queued", "spot", "type", "zone")
+    __slots__ = (
+        "capacity",
+        "demand",
+        "ends",
+        "free",
+        "id",
+        "images",
+        "queued",
+        "spot",
+        "type",
+        "zone",
+    )
 
     def __init__(
         self,
@@ -26,6 +37,7 @@
         ends: list[tuple[Seconds, Size, int]],
         queued: int,
         demand: AcceleratorDemand | None = None,
+        images: Iterable[str] = (),
     ) -> None:
         self.id = machine
         self.type = type_
@@ -36,6 +48,11 @@
         self.ends = ends
         self.queued = queued
         self.demand = demand
+        self.images = frozenset(images)
+
+    def warm(self, spec: JobSpec) -> bool:
+        """Whether the image of this work is there, or being fetched."""
+        return spec.image in self.images
 
     def room(self, spec: JobSpec) -> Size:
         """The free room that this work may use."""
@@ -76,10 +93,12 @@
         self.free = self.free.minus(size)
 
 
-def spare_key(view: View, spec: JobSpec) -> tuple[float, float, float]:
-    """Prefers rooms without accelerators that are not needed, then the tightest."""
+def spare_key(view: View, spec: JobSpec) -> tuple[float, float, float, float]:
+    """Prefers rooms without accelerators that are not needed, then those with the image, then
+    the tightest."""
     return (
         view.capacity.gpus if spec.gpus == 0 else 0.0,
+        0.0 if view.warm(spec) else 1.0,
         view.free.cpus,
         view.free.ram,
     )
@@ -104,7 +123,7 @@
 ) -> tuple[list[View], bool] | None:
     """Slots to hold for `count` tasks until they are idle, and whether to stop work of lower
     priority for them because waiting would take longer than `patience`."""
-    options: list[tuple[Seconds, tuple[float, float, float], int, View]] = []
+    options: list[tuple[Seconds, tuple[float, ...], int, View]] = []
     natural_of: dict[MachineId, Seconds] = {}
     for n, view in enumerate(views):
         if not view.allows(spec):
@@ -158,6 +177,7 @@
         ends,
         int(status["queued"]),
         demand,
+        status["images"],
     )
 
 
@@ -172,12 +192,13 @@
     return sum(v.times(spec) for v in views if v.allows(spec) and (zone is None or v.zone == zone))
 
 
-def take_most(views: Iterable[View], spec: JobSpec, most: int) -> int:
-    """Take idle room for up to `most` tasks; gives for how many there was some."""
+def take_most(views: Iterable[View], spec: JobSpec, most: int, warm: bool = False) -> int:
+    """Take idle room for up to `most` tasks, perhaps only where their image is; gives for how
+    many there was some."""
     taken = 0
     for view in sorted(
-        (v for v in views if v.allows(spec)),
-        key=lambda v: v.capacity.gpus if spec.gpus == 0 else 0.0,
+        (v for v in views if v.allows(spec) and (v.warm(spec) or not warm)),
+        key=lambda v: spare_key(v, spec),
     ):
         count = min(most - taken, view.times(spec))
         if count > 0:
--- a/src/dapplewick/core/part.py
+++ b/src/dapplewick/core/part.py
@@ -411,7 +411,7 @@
                 self.dirty = True
             live.sent = False
             live.stage = item.stage
-            if item.stage in ("running", "gathering"):
+            if item.stage in ("fetching", "running", "gathering"):
                 spec = self._spec(item.task)
                 if spec is not None:
                     machine.images[spec.image] = None
@@ -686,7 +686,9 @@
         return max(0.0, estimate - (now - live.running_at))
 
     def _next(self, now: Seconds, machine: Machine, queue: deque[TaskRef]) -> TaskRef | None:
-        """The first single of a queue that may start on this machine now."""
+        """The first single of a queue that may start on this machine now, preferably one
+        whose image is there."""
+        cold: TaskRef | None = None
         held = self._held_size(machine.id)
         for task in queue:
             spec = self._spec(task)
@@ -699,8 +701,10 @@
             if spec.size.fits(free.minus(held)) or (
                 spec.size.fits(free) and self._passes(now, spec, machine)
             ):
-                return task
-        return None
+                if spec.image in machine.images:
+                    return task
+                cold = cold or task
+        return cold
 
     def _launches(self, now: Seconds, machine: Machine) -> list[Order]:
         orders = self._gang_launches(now, machine)
@@ -964,6 +968,7 @@
         return {
             "free": tuple(self._free(machine).minus(held)),
             "ends": sorted(ends),
+            "images": list(machine.images),
             "queued": sum(len(s.queue) for s in machine.slots),
             "usable": self._usable(now, machine),
             "heard": machine.heard,
@@ -1028,7 +1033,11 @@
             },
             "jobs": jobs,
             "gangs": {
-                job_id: (hold.attempt, self._gang_state(job_id, hold))
+                job_id: (
+                    hold.attempt,
+                    self._gang_state(job_id, hold),
+                    round(self.remaining_wait(now, job_id, hold), 1) if not hold.ready else 0.0,
+                )
                 for job_id, hold in self.holds.items()
             },
             "clear": clear,
