--- a/src/dapplewick/core/demand.py
+++ b/src/dapplewick/core/demand.py
@@ -1,12 +1,14 @@
-"""What work with accelerators needs of its machines, so that other work leaves it room."""
+"""What work with accelerators, and gangs to come, need of machines: others leave them room."""
 
 from __future__ import annotations
 
 import math
 
+from dapplewick.protocol.wire import JobSpec
 from dapplewick.storage.records import Mirror
-from dapplewick.types import NOTHING, Seconds, Size
+from dapplewick.types import NOTHING, JobId, Seconds, Size
 
+GANG_WINDOW_S = 45.0  # gang tasks that come in this time should find idle slots
 MEMORY_S = 60.0  # a demand that has passed is believed in for about this long
 HEADROOM = 1.2
 
@@ -52,3 +54,49 @@
         target = math.ceil(self._share * capacity.gpus - 1e-6)
         count = max(0.0, min(free.gpus, target - (capacity.gpus - free.gpus)))
         return Size(self._each.cpus * count, 0.0, self._each.ram * count)
+
+
+class GangDemand:
+    """How many idle slots to keep for gangs that can't displace the singles in their way.
+
+    A gang of higher priority stops singles; any other would wait for them to end. So singles
+    without accelerators use only what is left beside a few idle slots of the gangs' size.
+    """
+
+    def __init__(self, mirror: Mirror) -> None:
+        self.mirror = mirror
+        self._rate = 0.0
+        self._at: Seconds | None = None
+        self._seen: dict[JobId, None] = {}
+        self.size = NOTHING
+        self.rank = 0
+        self.slots = 0.0
+
+    def update(self, now: Seconds) -> None:
+        fresh = 0
+        for job_id, job in self.mirror.each_live():
+            if job.spec.gang and job_id not in self._seen:
+                self._seen[job_id] = None
+                self.size = job.spec.size
+                self.rank = job.spec.rank
+                if self._at is not None:
+                    fresh += job.spec.tasks
+        while len(self._seen) > 5000:
+            del self._seen[next(iter(self._seen))]
+        passed = max(0.0, now - self._at) if self._at is not None else 0.0
+        self._at = now
+        self._rate = self._rate * math.exp(-passed / MEMORY_S) + fresh / MEMORY_S
+        # Once and a half the square root above the mean, as for any arrivals by chance.
+        mean = self._rate * GANG_WINDOW_S
+        self.slots = mean + 1.5 * math.sqrt(mean)
+
+    def applies(self, spec: JobSpec) -> bool:
+        """Whether this work would be in the way of gangs."""
+        return spec.gpus == 0 and not spec.gang and spec.rank >= self.rank and self.slots >= 0.5
+
+    def rest(self, free: Size) -> Size:
+        """A room less the whole slots of the gangs' size in it."""
+        count = self.size.times_in(free)
+        return free.minus(
+            Size(self.size.cpus * count, self.size.gpus * count, self.size.ram * count)
+        )
--- a/src/dapplewick/core/fleet.py
+++ b/src/dapplewick/core/fleet.py
@@ -15,7 +15,8 @@
 log = logging.getLogger("dapplewick.fleet")
 
 REFUSED_S = 20.0  # how long "no capacity" is believed
-IDLE_S = 45.0  # an idle machine is kept this long
+IDLE_S = 60.0  # an idle machine is kept this long
+IDLE_ACCELERATOR_S = 25.0  # and one with accelerators, which costs many times as much
 BOOT_TIMES = 4.0  # a machine that takes longer than this times its usual boot is given up
 BOOT_LEAST_S = 60.0
 MOST_AT_ONCE = 6  # machines rented in one pass
@@ -125,6 +126,10 @@
         what is missing; says whether something was found for all of them."""
         left = dict.fromkeys(zones, cap)
         for view in pool:
+            # Singles that need no accelerators don't count on machines that are rented for
+            # theirs: room for them is to be had for much less.
+            if spec.gpus == 0 and not spec.gang and view.capacity.gpus > 0:
+                continue
             if view.zone in left and view.allows(spec):
                 fit = min(count, left[view.zone], view.times(spec))
                 if fit > 0:
@@ -165,6 +170,11 @@
                 best = (*key, offer)
         return best[2] if best is not None else None
 
+    def patience(self, type_: str) -> Seconds:
+        """How long a machine of this type may idle before it is returned."""
+        kind = self.mirror.types.get(type_)
+        return IDLE_ACCELERATOR_S if kind is not None and kind.gpus > 0 else IDLE_S
+
     def boot_limit(self, type_: str) -> Seconds:
         kind = self.mirror.types.get(type_)
         return max(BOOT_LEAST_S, BOOT_TIMES * (kind.boot if kind is not None else 60.0))
--- a/src/dapplewick/core/leader.py
+++ b/src/dapplewick/core/leader.py
@@ -11,10 +11,18 @@
 from typing import Any, NamedTuple
 
 from dapplewick.config import Settings
-from dapplewick.core.demand import AcceleratorDemand
+from dapplewick.core.demand import AcceleratorDemand, GangDemand
 from dapplewick.core.estimates import Estimates
-from dapplewick.core.fleet import IDLE_S, Fleet, Need, wanted_slots
-from dapplewick.core.model import View, fit_all, fit_held, room_for, take_most, view_of
+from dapplewick.core.fleet import Fleet, Need, wanted_slots
+from dapplewick.core.model import (
+    View,
+    fit_all,
+    fit_held,
+    keep_for_gangs,
+    room_for,
+    take_most,
+    view_of,
+)
 from dapplewick.protocol.wire import JobSpec, Listed, MachineList, MachineType, types_value
 from dapplewick.storage.records import (
     BOOKINGS,
@@ -78,6 +86,7 @@
         self.epoch = epoch
         self.started = now
         self.demand = AcceleratorDemand(mirror)
+        self.gangs = GangDemand(mirror)
         self.fleet = Fleet(mirror, settings.deployment.zones, epoch)
         self.status: dict[Zone, PartStatus] = {}
         self.rented: dict[str, list[MachineId] | None] = {}
@@ -150,6 +159,7 @@
         self._absorb(now)
         changes += self._machine_changes(now, wall)
         self.demand.update(now)
+        self.gangs.update(now)
         usage = self._usage()
         views = self._views(now)
         self._place_gangs(now, wall, views, usage)
@@ -529,6 +539,7 @@
         shares: dict[Zone, int] = {}
         zones.sort(key=lambda z: -room_for(views[z], spec))
         for zone in zones:
+            keep_for_gangs(views[zone], self.gangs, 1.0 / len(views))
             most = min(count, spec.zone_cap - len(job.granted(zone)))
             share = take_most(views[zone], spec, most, warm) if most > 0 else 0
             shares[zone] = share
@@ -718,7 +729,9 @@
                 record = self.mirror.machines.get(machine_id)
                 if record is None or record.doomed or not record.up:
                     continue
-                idle = body["idle"] > IDLE_S or (body["leaving"] and body["idle"] > 1.0)
+                idle = body["idle"] > self.fleet.patience(record.type) or (
+                    body["leaving"] and body["idle"] > 1.0
+                )
                 if not idle or self._wanted(machine_id, record, needs):
                     continue
                 if any(
--- a/src/dapplewick/core/model.py
+++ b/src/dapplewick/core/model.py
@@ -2,10 +2,11 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Iterable
 from typing import Any
 
-from dapplewick.core.demand import AcceleratorDemand
+from dapplewick.core.demand import AcceleratorDemand, GangDemand
 from dapplewick.protocol.wire import JobSpec
 from dapplewick.types import MachineId, Seconds, Size, TypeName, Zone
 
@@ -20,6 +21,7 @@
         "free",
         "id",
         "images",
+        "kept",
         "queued",
         "spot",
         "type",
@@ -49,6 +51,7 @@
         self.queued = queued
         self.demand = demand
         self.images = frozenset(images)
+        self.kept: GangDemand | None = None  # set while its part's idle slots are kept for gangs
 
     def warm(self, spec: JobSpec) -> bool:
         """Whether the image of this work is there, or being fetched."""
@@ -58,7 +61,10 @@
         """The free room that this work may use."""
         if spec.gpus > 0 or self.demand is None:
             return self.free
-        return self.free.minus(self.demand.reserve(self.capacity, self.free))
+        free = self.free
+        if self.kept is not None and self.kept.applies(spec):
+            free = self.kept.rest(free)
+        return free.minus(self.demand.reserve(self.capacity, self.free))
 
     def times(self, spec: JobSpec) -> int:
         return spec.size.times_in(self.room(spec))
@@ -93,12 +99,14 @@
         self.free = self.free.minus(size)
 
 
-def spare_key(view: View, spec: JobSpec) -> tuple[float, float, float, float]:
+def spare_key(view: View, spec: JobSpec) -> tuple[float, ...]:
     """Prefers rooms without accelerators that are not needed, then those with the image, then
-    the tightest."""
+    the cheap ones, then the
+    tightest."""
     return (
         view.capacity.gpus if spec.gpus == 0 else 0.0,
         0.0 if view.warm(spec) else 1.0,
+        0.0 if view.spot else 1.0,
         view.free.cpus,
         view.free.ram,
     )
@@ -205,3 +213,11 @@
             take_times(view, spec, count)
             taken += count
     return taken
+
+
+def keep_for_gangs(views: list[View], gangs: GangDemand, share: float) -> None:
+    """Mark a part's rooms if it has no more idle slots than are to be kept for gangs."""
+    idle = sum(gangs.size.times_in(v.free) for v in views)
+    kept = gangs if idle <= math.ceil(gangs.slots * share) else None
+    for view in views:
+        view.kept = kept
--- a/src/dapplewick/core/part.py
+++ b/src/dapplewick/core/part.py
@@ -7,12 +7,13 @@
 from __future__ import annotations
 
 import logging
+import math
 import random
 from collections import deque
 from collections.abc import Iterator
 from typing import Any
 
-from dapplewick.core.demand import AcceleratorDemand
+from dapplewick.core.demand import AcceleratorDemand, GangDemand
 from dapplewick.core.estimates import Estimates
 from dapplewick.protocol.wire import JobSpec, Order, Report, TaskReport
 from dapplewick.storage.records import JobRecord, Mirror
@@ -160,6 +161,7 @@
         self.strangers: dict[MachineId, Report] = {}
         self.dirty = True
         self.demand = AcceleratorDemand(mirror)
+        self.gang_demand = GangDemand(mirror)
         self.demand.update(now)
         self._attempts = 0
         # Tasks granted before this ownership may be on any machine the old owner could use:
@@ -286,6 +288,7 @@
     def tick(self, now: Seconds) -> None:
         """Time has passed."""
         self.demand.update(now)
+        self.gang_demand.update(now)
         if self.later:
             ready = [t for t in self.later if self._not_before(t) <= now]
             if ready:
@@ -363,7 +366,20 @@
         free = self._free(machine)
         if spec.gpus > 0:
             return free
-        return free.minus(self.demand.reserve(machine.capacity, free))
+        reserve = self.demand.reserve(machine.capacity, free)
+        if self.gang_demand.applies(spec) and self._few_slots():
+            free = self.gang_demand.rest(free)
+        return free.minus(reserve)
+
+    def _few_slots(self) -> bool:
+        """Whether no more idle slots are left here than are kept for gangs."""
+        share = self.gang_demand.slots / max(1, len(self.mirror.parts))
+        idle = 0
+        for machine in self.machines.values():
+            idle += self.gang_demand.size.times_in(self._free(machine))
+            if idle > math.ceil(share):
+                return False
+        return True
 
     def _held_on(self, machine_id: MachineId) -> list[tuple[JobId, Hold, int]]:
         """Held slots of this machine whose start has not gone out."""
