--- a/src/dapplewick/core/leader.py
+++ b/src/dapplewick/core/leader.py
@@ -53,6 +53,7 @@
 PROGRESS_S = 1.0  # done tasks of an unfinished job are stored at most this often
 PATIENCE_S = 4.0  # a gang waits this long before work of lower priority is stopped for it
 HORIZON_S = 60.0  # waiting singles should all have started within this time
+STARVED_S = 60.0  # a gang that waited this long holds whatever it can
 QUEUE_LEAST = 2
 LOAD_LOG_S = 10.0
 LONG_HOLD_S = 10.0  # gangs that hold slots for longer want more machines
@@ -352,7 +353,7 @@
             spec = job.spec
             if self._within_limit(spec, usage) < spec.tasks:
                 continue
-            found = self._place_gang(spec, views)
+            found = self._place_gang(spec, views, wall - job.at)
             if found is None:
                 continue
             chosen, preempt = found
@@ -369,7 +370,7 @@
             )  # fmt: skip
 
     def _place_gang(
-        self, spec: JobSpec, views: dict[Zone, list[View]]
+        self, spec: JobSpec, views: dict[Zone, list[View]], waited: Seconds
     ) -> tuple[list[View], bool] | None:
         count = spec.tasks
         one_part = spec.zone_cap >= count
@@ -383,10 +384,13 @@
                         best = (spare, chosen)
         if best is not None:
             return best[1], False
+        # Slots behind long work are no place to wait: rented machines come sooner, and so do
+        # slots of other gangs that end, which a hold could not use any more.
+        limit = LONG_HOLD_S if waited < STARVED_S else float("inf")
         held: tuple[float, list[View], bool] | None = None
         if one_part:
             for zone_views in views.values():
-                option = fit_held(zone_views, spec, count, PATIENCE_S)
+                option = fit_held(zone_views, spec, count, PATIENCE_S, limit)
                 if option is not None:
                     wait = 0.0
                     for view in option[0]:
--- a/src/dapplewick/core/model.py
+++ b/src/dapplewick/core/model.py
@@ -127,10 +127,11 @@
 
 
 def fit_held(
-    views: Iterable[View], spec: JobSpec, count: int, patience: Seconds
+    views: Iterable[View], spec: JobSpec, count: int, patience: Seconds, limit: Seconds
 ) -> tuple[list[View], bool] | None:
     """Slots to hold for `count` tasks until they are idle, and whether to stop work of lower
-    priority for them because waiting would take longer than `patience`."""
+    priority for them because waiting would take longer than `patience`. Slots that would be
+    busy for longer than `limit` are left alone."""
     options: list[tuple[Seconds, tuple[float, ...], int, View]] = []
     natural_of: dict[MachineId, Seconds] = {}
     for n, view in enumerate(views):
@@ -142,6 +143,8 @@
         natural, forced = times
         natural_of[view.id] = natural
         wait = natural if natural <= patience else max(forced, patience)
+        if wait > limit:
+            continue
         options.append((wait + view.queued, spare_key(view, spec), n, view))
     options.sort(key=lambda o: o[:3])
     chosen: list[View] = []
@@ -150,7 +153,7 @@
         saved = view.free
         while len(chosen) < count:
             times = view.room_in(spec)
-            if times is None:
+            if times is None or min(times) > limit:
                 break
             if times[0] > patience and times[1] < times[0]:
                 preempt = True
