--- a/src/dapplewick/core/demand.py
+++ b/src/dapplewick/core/demand.py
@@ -9,8 +9,8 @@
 from dapplewick.types import NOTHING, JobId, Seconds, Size
 
 GANG_WINDOW_S = 45.0  # gang tasks that come in this time should find idle slots
-MEMORY_S = 60.0  # a demand that has passed is believed in for about this long
-HEADROOM = 1.2
+MEMORY_S = 60.0  # over this time the rate at which gangs come is counted
+FADE_S = 20.0  # a demand for accelerators that has passed is believed in for about this long
 
 
 class AcceleratorDemand:
@@ -37,9 +37,9 @@
                 ram = max(ram, spec.ram / spec.gpus)
         if cpus or ram:
             self._each = Size(cpus, 1.0, ram)
-        fade = math.exp(-max(0.0, now - self._at) / MEMORY_S)
+        fade = math.exp(-max(0.0, now - self._at) / FADE_S)
         self._at = now
-        self._wanted = max(wanted * HEADROOM, self._wanted * fade)
+        self._wanted = max(wanted, self._wanted * fade)
         have = 0.0
         for record in self.mirror.machines.values():
             kind = self.mirror.types.get(record.type)
@@ -51,7 +51,7 @@
         """What is to be left free on a machine for the accelerators that are wanted."""
         if capacity.gpus <= 0 or self._share <= 0.01:
             return NOTHING
-        target = math.ceil(self._share * capacity.gpus - 1e-6)
+        target = math.floor(self._share * capacity.gpus + 0.5)
         count = max(0.0, min(free.gpus, target - (capacity.gpus - free.gpus)))
         return Size(self._each.cpus * count, 0.0, self._each.ram * count)
 
