--- a/src/dapplewick/core/demand.py
+++ b/src/dapplewick/core/demand.py
@@ -65,8 +65,10 @@
 
     def __init__(self, mirror: Mirror) -> None:
         self.mirror = mirror
-        self._rate = 0.0
+        self._count = 0.0
         self._at: Seconds | None = None
+        self._begun = 0.0
+        self.spec: JobSpec | None = None
         self._seen: dict[JobId, None] = {}
         self.size = NOTHING
         self.rank = 0
@@ -74,21 +76,28 @@
 
     def update(self, now: Seconds) -> None:
         fresh = 0
+        in_the_way = -1
         for job_id, job in self.mirror.each_live():
+            if job.open and not job.spec.gang and job.spec.gpus == 0:
+                in_the_way = max(in_the_way, job.spec.rank)
             if job.spec.gang and job_id not in self._seen:
                 self._seen[job_id] = None
+                self.spec = job.spec
                 self.size = job.spec.size
                 self.rank = job.spec.rank
                 if self._at is not None:
                     fresh += job.spec.tasks
         while len(self._seen) > 5000:
             del self._seen[next(iter(self._seen))]
-        passed = max(0.0, now - self._at) if self._at is not None else 0.0
+        if self._at is None:
+            self._begun = self._at = now
+        self._count = self._count * math.exp(-max(0.0, now - self._at) / MEMORY_S) + fresh
         self._at = now
-        self._rate = self._rate * math.exp(-passed / MEMORY_S) + fresh / MEMORY_S
+        # A fading count stands for less than its whole memory soon after the start.
+        weight = 1.0 - math.exp(-max(5.0, now - self._begun) / MEMORY_S)
+        mean = self._count / (weight * MEMORY_S) * GANG_WINDOW_S
         # Once and a half the square root above the mean, as for any arrivals by chance.
-        mean = self._rate * GANG_WINDOW_S
-        self.slots = mean + 1.5 * math.sqrt(mean)
+        self.slots = mean + 1.5 * math.sqrt(mean) if in_the_way >= self.rank else 0.0
 
     def applies(self, spec: JobSpec) -> bool:
         """Whether this work would be in the way of gangs."""
--- a/src/dapplewick/core/fleet.py
+++ b/src/dapplewick/core/fleet.py
@@ -19,6 +19,7 @@
 IDLE_ACCELERATOR_S = 25.0  # and one with accelerators, which costs many times as much
 BOOT_TIMES = 4.0  # a machine that takes longer than this times its usual boot is given up
 BOOT_LEAST_S = 60.0
+OVERDUE_TIMES = 1.7  # a machine that boots for longer is no longer counted on
 MOST_AT_ONCE = 6  # machines rented in one pass
 
 
@@ -53,12 +54,15 @@
     def no_capacity(self, now: Seconds, booking: BookingRecord) -> None:
         self.refused[(booking.type, booking.zone, booking.spot)] = now
 
-    def coming(self) -> list[View]:
-        """Machines that are rented or asked for and not yet up, as empty rooms."""
+    def coming(self, wall: Seconds) -> list[View]:
+        """Machines that are rented or asked for and not yet up, as empty rooms. One that is
+        long overdue may never come: nothing is left waiting for it."""
         views = []
         for machine_id, record in self.mirror.machines.items():
             kind = self.mirror.types.get(record.type)
-            if kind is not None and not record.up and not record.doomed:
+            if kind is None or record.up or record.doomed:
+                continue
+            if wall - record.at < OVERDUE_TIMES * kind.boot:
                 views.append(self._empty(machine_id, kind, record.zone, record.spot))
         for name, booking in self.mirror.bookings.items():
             kind = self.mirror.types.get(booking.type)
@@ -89,14 +93,18 @@
                         offers.append(Offer(kind, zone, spot, price))
         return offers
 
-    def rent(self, now: Seconds, needs: list[Need], rooms: list[View]) -> list[BookingRecord]:
-        """What to ask for, beyond the rooms that there are and what is already coming.
+    def rent(
+        self, now: Seconds, wall: Seconds, needs: list[Need], rooms: list[View]
+    ) -> tuple[list[BookingRecord], list[Need]]:
+        """What to ask for, beyond the rooms that there are and what is already coming; and
+        the needs for which nothing is left to be asked.
 
         A need that finds room in machines that are up rents nothing, whatever else keeps it
         from starting: otherwise it would rent again in every pass.
         """
-        pool = rooms + self.coming()
+        pool = rooms + self.coming(wall)
         asked: dict[tuple[str, str, bool], int] = {}
+        unmet: list[Need] = []
         for need in needs:
             spec = need.spec
             if need.together and spec.one_zone:
@@ -104,13 +112,17 @@
                 for zone in zones:
                     if self._provide(now, spec, need.tasks, need.tasks, [zone], pool, asked):
                         break
+                else:
+                    unmet.append(need)
             else:
                 cap = spec.zone_cap if need.together else need.tasks
-                self._provide(now, spec, need.tasks, cap, self.zones, pool, asked)
-        return [
+                if not self._provide(now, spec, need.tasks, cap, self.zones, pool, asked):
+                    unmet.append(need)
+        bookings = [
             BookingRecord(type=kind, zone=zone, spot=spot, count=count, at=now)
             for (kind, zone, spot), count in asked.items()
         ]
+        return bookings, unmet
 
     def _provide(
         self,
--- a/src/dapplewick/core/leader.py
+++ b/src/dapplewick/core/leader.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import logging
+import math
 from collections.abc import Iterable
 from typing import Any, NamedTuple
 
@@ -175,11 +176,14 @@
         changes.sort(key=lambda c: c.rank)
         if log.isEnabledFor(logging.DEBUG) and now - self._load_at > LOAD_LOG_S:
             self._load_at = now
-            self._log_load(views, ordered)
+            self._log_load(wall, views, ordered)
         return changes
 
     def _log_load(
-        self, views: dict[Zone, list[View]], ordered: list[tuple[JobId, JobRecord, int]]
+        self,
+        wall: Seconds,
+        views: dict[Zone, list[View]],
+        ordered: list[tuple[JobId, JobRecord, int]],
     ) -> None:
         """What there is and what waits, for those who look for a cause."""
         kinds: dict[str, list[float]] = {}
@@ -199,7 +203,7 @@
                 held += job.gang is not None
         log.debug(
             "event=load rooms=%s coming=%d ungranted=%s gangs_waiting=%d gangs_placed=%d",
-            kinds, len(self.fleet.coming()), waiting, gangs, held,
+            kinds, len(self.fleet.coming(wall)), waiting, gangs, held,
         )  # fmt: skip
 
     def _absorb(self, now: Seconds) -> None:
@@ -659,7 +663,10 @@
             changes.append(Change(key, None, self.mirror.version(key), 0))
         needs = self._needs(wall, ordered)
         if self._ready(now):
-            for asked in self.fleet.rent(now, needs, [v for part in views.values() for v in part]):
+            rooms = [v for part in views.values() for v in part]
+            spare = self._spare_slots(rooms)
+            bookings, unmet = self.fleet.rent(now, wall, needs, rooms)
+            for asked in bookings:
                 self._counter += 1
                 name = f"r-{self.epoch}-{self._counter}"
                 value = {k: getattr(asked, k) for k in asked.__struct_fields__}
@@ -668,7 +675,7 @@
                     "event=rent booking=%s type=%s zone=%s spot=%s count=%d",
                     name, asked.type, asked.zone, asked.spot, asked.count,
                 )  # fmt: skip
-            changes += self._returns(now, needs)
+            changes += self._returns(now, unmet, spare)
         return changes
 
     def _ready(self, now: Seconds) -> bool:
@@ -693,7 +700,7 @@
             key = (tuple(spec.types or ()), spec.spot, spec.zone, spec.gpus > 0)
             groups.setdefault(key, []).append(entry)
         for entries in groups.values():
-            work, running, largest = 0.0, 0, entries[0][1].spec
+            work, running, waiting, largest = 0.0, 0, 0, entries[0][1].spec
             horizon = HORIZON_S
             for job_id, job, left in entries:
                 placed = sum(
@@ -703,16 +710,21 @@
                 )
                 granted = sum(len(tasks) for tasks in job.grants.values())
                 running += placed
-                waiting = left + max(0, granted - placed)
-                estimate = self.estimates.run_time(job.spec)
-                work += waiting * estimate
-                if waiting and job.spec.cpus > largest.cpus:
+                mine = left + max(0, granted - placed)
+                waiting += mine
+                work += mine * self.estimates.run_time(job.spec)
+                if mine and job.spec.cpus > largest.cpus:
                     largest = job.spec
-            count = wanted_slots(work, running, horizon)
+            count = min(waiting, wanted_slots(work, running, horizon))
             if work > 0 and running == 0:
                 count = max(1, count)
             if count > 0:
                 needs.append(Need(largest, count, False))
+        if self.gangs.spec is not None and self.gangs.slots >= 0.5:
+            # Idle slots for gangs still to come: renting when they are here is too late.
+            needs.append(Need(self.gangs.spec, math.ceil(self.gangs.slots), False))
+        # Accelerators first: gangs then see what CPUs these leave of the machines to come.
+        needs.sort(key=lambda need: need.spec.gpus == 0)
         return needs
 
     def _long_held(self, job_id: JobId, gang: GangPlace) -> bool:
@@ -725,7 +737,7 @@
                     return True
         return False
 
-    def _returns(self, now: Seconds, needs: list[Need]) -> list[Change]:
+    def _returns(self, now: Seconds, needs: list[Need], spare: int) -> list[Change]:
         """Machines that have been idle for a while go back, unless something waits for them."""
         changes = []
         for status in self.status.values():
@@ -743,6 +755,10 @@
                     for job in (self._job(j) for j in self.mirror.live_jobs)
                 ):
                     continue
+                slots = self._gang_slots(record)
+                if slots and spare < slots:
+                    continue
+                spare -= slots
                 gone = MachineRecord(
                     type=record.type, zone=record.zone, spot=record.spot, at=record.at,
                     up=True, doomed=True,
@@ -751,6 +767,17 @@
                 log.info("event=machine_doomed machine=%s reason=idle", machine_id)
         return changes
 
+    def _spare_slots(self, rooms: list[View]) -> int:
+        """How many idle slots of the gangs' size there are beyond those to be kept."""
+        idle = sum(self.gangs.size.times_in(v.free) for v in rooms)
+        return idle - math.ceil(self.gangs.slots)
+
+    def _gang_slots(self, record: MachineRecord) -> int:
+        kind = self.mirror.types.get(record.type)
+        if kind is None or self.gangs.slots < 0.5:
+            return 0
+        return self.gangs.size.times_in(kind.size)
+
     def _wanted(self, machine_id: str, record: MachineRecord, needs: list[Need]) -> bool:
         kind = self.mirror.types.get(record.type)
         return kind is not None and any(
