--- /dev/null
+++ b/tests/test_checks_can_fail.py
@@ -0,0 +1,75 @@
+"""Guards broken on purpose: the stand-ins must notice each, or their checks are worth nothing."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+import pytest
+
+from dapplewick.core.leader import LeaderCore
+from dapplewick.core.part import PartCore
+from dapplewick.node import Node
+from standins import World
+from test_days import Fault, all_crash, cut_from_state, lost_answers, play, quick_restarts, quiet
+
+Patch = Callable[[pytest.MonkeyPatch], None]
+
+
+def no_wait_for_unheard_machines(patch: pytest.MonkeyPatch) -> None:
+    settle = PartCore._settle_unsure
+
+    def hasty(self: PartCore, now: float) -> None:
+        self.unheard.clear()
+        settle(self, now)
+
+    patch.setattr(PartCore, "_settle_unsure", hasty)
+
+
+def no_team_limit(patch: pytest.MonkeyPatch) -> None:
+    patch.setattr(LeaderCore, "_within_limit", lambda self, spec, usage: spec.tasks)
+
+
+def no_stop_of_cancelled_tasks(patch: pytest.MonkeyPatch) -> None:
+    patch.setattr(PartCore, "_stops", lambda self, now, machine: [])
+
+
+def no_check_that_the_mirror_is_current(patch: pytest.MonkeyPatch) -> None:
+    async def unchecked(self: Node) -> None:
+        return
+
+    patch.setattr(Node, "current", unchecked)
+
+
+def any_machine_will_do(patch: pytest.MonkeyPatch) -> None:
+    patch.setattr(PartCore, "_allowed", lambda self, spec, machine: True)
+
+
+CASES: list[tuple[Patch, Fault, str]] = [
+    (no_wait_for_unheard_machines, quick_restarts, "ran_twice"),
+    (no_team_limit, quiet, "quota"),
+    (no_stop_of_cancelled_tasks, quiet, "ran_cancelled"),
+    (no_check_that_the_mirror_is_current, cut_from_state, "forgotten"),
+    (any_machine_will_do, quiet, "wrong_place"),
+]
+
+
+def first_broken(fault: Fault, rule: str) -> World | None:
+    for seed in range(1, 9):
+        slow = 8.0 if rule == "ran_cancelled" else 1.0
+        world = play(fault, seed, jobs=30, length=150.0, slow=slow)
+        if any(b.startswith(rule) for b in world.broken):
+            return world
+    return None
+
+
+@pytest.mark.parametrize(("patch", "fault", "rule"), CASES, ids=lambda c: getattr(c, "__name__", c))
+def test_a_broken_guard_is_noticed(
+    patch: Patch, fault: Fault, rule: str, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    patch(monkeypatch)
+    assert first_broken(fault, rule) is not None
+
+
+@pytest.mark.parametrize("fault", [all_crash, lost_answers], ids=lambda f: f.__name__)
+def test_the_unbroken_guards_keep_the_same_days(fault: Fault) -> None:
+    assert play(fault, 1, jobs=30, length=150.0).broken == []
--- a/tests/test_days.py
+++ b/tests/test_days.py
@@ -129,7 +129,9 @@
             group.start_soon(fault, world)
 
 
-def play(fault: Fault, seed: int, jobs: int = 14, length: float = 240.0) -> World:
+def play(
+    fault: Fault, seed: int, jobs: int = 14, length: float = 240.0, slow: float = 1.0
+) -> World:
     world = World(seed)
 
     async def script() -> None:
@@ -139,6 +141,7 @@
             for n in range(jobs):
                 await anyio.sleep(world.random.uniform(0.5, 6.0))
                 body = world.random_job() | {"name_id": f"run-{n:06d}"}
+                body["true_s"] *= slow
                 cancel = world.random.uniform(3, 30) if world.random.random() < 0.25 else None
                 group.start_soon(world.user, body["name_id"], body, cancel)
 
--- /dev/null
+++ b/tests/test_four_points.py
@@ -0,0 +1,382 @@
+"""The design's four points: a slow plain model beside the real cores, over generated inputs."""
+
+from __future__ import annotations
+
+import math
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from dapplewick.core.estimates import Estimates
+from dapplewick.core.fleet import Fleet, Need
+from dapplewick.core.model import View, fit_all
+from dapplewick.core.part import PartCore
+from dapplewick.protocol.wire import JobSpec, MachineType, Order, Report, TaskReport, types_value
+from dapplewick.storage.ranges import pack, unpack
+from dapplewick.storage.records import JOBS, MACHINES, TYPES, GangPlace, JobRecord, Mirror
+from dapplewick.types import (
+    Attempt,
+    JobId,
+    MachineId,
+    Seconds,
+    Size,
+    TaskIndex,
+    TaskRef,
+    Token,
+    TypeName,
+    Zone,
+)
+
+TOKEN = Token(50)
+ZONE = Zone("a")
+KIND = MachineType(name="k", cpus=4.0, gpus=0.0, ram=64.0, zones=["a"])
+
+
+def spec(
+    tasks: int, cpus: float, estimate: float, gang: bool = False, bundle: str = "x"
+) -> JobSpec:
+    return JobSpec(
+        bundle=bundle,
+        team="red",
+        gang=gang,
+        rank=1,
+        tasks=tasks,
+        cpus=cpus,
+        gpus=0.0,
+        ram=1.0,
+        image="img",
+        image_gb=1.0,
+        estimate=estimate,
+    )
+
+
+class Bench:
+    """A part on four-CPU machines, its records, and its workers."""
+
+    def __init__(self, machines: int, threshold: Seconds = 0.0) -> None:
+        self.mirror = Mirror()
+        self.version = 100
+        self.put(TYPES, types_value([KIND]))
+        self.names = [MachineId(f"vm-{i}") for i in range(machines)]
+        for name in self.names:
+            record = {"type": "k", "zone": "a", "spot": False, "at": 0.0, "up": True}
+            self.put(MACHINES + name, record)
+        self.core = PartCore(
+            ZONE, TOKEN, self.mirror, Estimates(), 0.0, threshold=threshold, seed=1
+        )
+        self.seq = 0
+        self.on: dict[MachineId, dict[TaskRef, Attempt]] = {n: {} for n in self.names}
+
+    def put(self, key: str, value: object) -> None:
+        self.version += 1
+        self.mirror.put(key, value, self.version)
+
+    def grant(self, job: str, asked: JobSpec, at: Seconds) -> None:
+        record = JobRecord(asked, at)
+        record.grants = {"a": set(range(asked.tasks))}
+        self.put(JOBS + job, record.dump())
+        self.core.job_changed(at, JobId(job))
+
+    def hold(self, job: str, asked: JobSpec, places: list[MachineId], at: Seconds) -> None:
+        record = JobRecord(asked, at)
+        record.gang = GangPlace(7, [("a", m) for m in places])
+        self.put(JOBS + job, record.dump())
+        self.core.job_changed(at, JobId(job))
+
+    def report(self, name: MachineId, at: Seconds, done: set[TaskRef] = frozenset()) -> list[Order]:  # type: ignore[assignment]
+        self.seq += 1
+        tasks = [
+            TaskReport(
+                task,
+                attempt,
+                "exited" if task in done else "running",
+                "done" if task in done else None,
+                False,
+            )
+            for task, attempt in self.on[name].items()
+        ]
+        report = Report(
+            name, TypeName("k"), ZONE, False, 1, self.seq, TOKEN, None, "", tasks
+        )  # fmt: skip
+        orders = self.core.report(at, report, True)
+        for task in done:
+            self.on[name].pop(task, None)
+        for order in orders:
+            if order.op == "start":
+                self.on[name][order.task] = order.attempt
+        return orders
+
+    def store(self, done: set[TaskRef], at: Seconds) -> None:
+        """What the leader does with results: they are stored, and the grants are over."""
+        for job in {t.job for t in done}:
+            record = JobRecord.load(self.mirror.jobs[job].dump(), 0)
+            numbers = {int(t.number) for t in done if t.job == job}
+            record.done |= numbers
+            record.grants = {"a": record.granted("a") - numbers}
+            self.put(JOBS + job, record.dump())
+            self.core.job_changed(at, job)
+
+
+def starts(orders: list[Order]) -> list[TaskRef]:
+    return [o.task for o in orders if o.op == "start"]
+
+
+@settings(max_examples=150, deadline=None, derandomize=True)
+@given(
+    running=st.lists(st.floats(1.0, 60.0), min_size=1, max_size=4),
+    backfill=st.floats(0.5, 80.0),
+    at=st.floats(0.0, 50.0),
+    threshold=st.sampled_from([0.0, 5.0]),
+)
+def test_a_single_passes_a_held_gang_only_by_the_test(
+    running: list[float], backfill: float, at: float, threshold: float
+) -> None:
+    """Point four: backfill iff estimate <= remaining wait + T.
+
+    Plain model: one-CPU singles with known ends run on the only machine, a four-CPU gang holds
+    it, and the wait is until the last of them ends, at least zero.
+    """
+    bench = Bench(1, threshold)
+    machine = bench.names[0]
+    bench.report(machine, 0.0)
+    for n, estimate in enumerate(running):
+        bench.grant(f"run-s{n}", spec(1, 1.0, estimate), 0.0)
+    # The rest of the machine is taken by a single that ends now and so frees held room.
+    rest = 4 - len(running)
+    if rest:
+        bench.grant("run-rest", spec(1, float(rest), 1000.0, bundle="rest"), 0.0)
+    assert len(starts(bench.report(machine, 0.0))) == len(running) + bool(rest)
+    bench.report(machine, 0.0)
+    bench.hold("run-g", spec(1, 4.0, 30.0, gang=True), [machine], 0.0)
+    bench.grant("run-b", spec(1, 1.0, backfill), 0.0)
+    freed = {TaskRef(JobId("run-rest"), TaskIndex(0))} if rest else set()
+    orders = bench.report(machine, at, freed)
+    wait = max(0.0, max(running) - at)
+    passes = bool(rest) and backfill <= wait + threshold
+    assert (TaskRef(JobId("run-b"), TaskIndex(0)) in starts(orders)) == passes
+
+
+@settings(max_examples=100, deadline=None, derandomize=True)
+@given(
+    machines=st.integers(1, 4),
+    jobs=st.lists(st.tuples(st.integers(1, 6), st.sampled_from([1.0, 2.0])), max_size=4),
+    rounds=st.integers(1, 8),
+)
+def test_room_is_never_overfilled_and_never_idle_beside_waiting_singles(
+    machines: int, jobs: list[tuple[int, float]], rounds: int
+) -> None:
+    """Points one and stealing: a plain count of what each machine must be running.
+
+    Whatever queue a single joined, a machine that reports has no room left for any single that
+    still waits, and everything runs once, in the end.
+    """
+    bench = Bench(machines)
+    for name in bench.names:
+        bench.report(name, 0.0)
+    sizes: dict[TaskRef, float] = {}
+    for n, (tasks, cpus) in enumerate(jobs):
+        bench.grant(f"run-{n}", spec(tasks, cpus, 10.0), 0.0)
+        sizes |= {TaskRef(JobId(f"run-{n}"), TaskIndex(i)): cpus for i in range(tasks)}
+    waiting = set(sizes)
+    finished: set[TaskRef] = set()
+    at = 0.0
+    for _ in range(rounds * 40):
+        if len(finished) == len(sizes):
+            break
+        for name in bench.names:
+            at += 0.25
+            done = set(bench.on[name]) if at > 5.0 else set()
+            begun = starts(bench.report(name, at, done))
+            finished |= done
+            bench.store(done, at)
+            assert set(begun) <= waiting
+            waiting -= set(begun)
+            used = sum(sizes[t] for t in bench.on[name])
+            assert used <= KIND.cpus
+            assigned = {
+                t
+                for m in bench.core.machines.values()
+                for s in m.slots
+                if (t := s.current) is not None and m.id != name
+            }
+            room = KIND.cpus - used
+            assert all(sizes[t] > room for t in waiting - assigned)
+    if rounds == 8:
+        assert finished == set(sizes)
+
+
+def plain_largest_first(gangs: list[tuple[int, float]], idle: int) -> list[int]:
+    """Place the largest fitting gang, the oldest among equals, until none fits."""
+    left = dict(enumerate(gangs))
+    order = []
+    while True:
+        fitting = [n for n, (tasks, _) in left.items() if tasks <= idle]
+        if not fitting:
+            return order
+        best = max(fitting, key=lambda n: (left[n][0], -left[n][1]))
+        idle -= left.pop(best)[0]
+        order.append(best)
+
+
+@settings(max_examples=100, deadline=None, derandomize=True)
+@given(
+    sizes=st.lists(st.integers(1, 5), min_size=1, max_size=6),
+    idle=st.integers(0, 9),
+)
+def test_the_largest_fitting_gang_is_placed_first(sizes: list[int], idle: int) -> None:
+    """Point three, against the leader's real pass."""
+    import standins
+    from dapplewick.core.leader import LeaderCore
+
+    mirror = Mirror()
+    mirror.put(TYPES, types_value([KIND]), 1)
+    mirror.put("dw/p/a", {"owner": "n0", "boot": "x"}, 2)
+    core = LeaderCore(mirror, standins.settings("n0"), Estimates(), Token(9), 0.0)
+    machines = {}
+    for n in range(idle):
+        record = {"type": "k", "zone": "a", "spot": False, "at": 0.0, "up": True}
+        mirror.put(f"dw/m/vm-{n}", record, 10 + n)
+        machines[f"vm-{n}"] = {
+            "free": (4.0, 0.0, 64.0), "ends": [], "queued": 0, "usable": True, "heard": True,
+            "silent": 0.0, "idle": 0.0, "leaving": False, "faulty": False, "wanted_gone": False,
+            "images": [],
+        }  # fmt: skip
+    gangs = [(tasks, float(n)) for n, tasks in enumerate(sizes)]
+    for n, (tasks, at) in enumerate(gangs):
+        mirror.put(f"dw/j/run-{n}", JobRecord(spec(tasks, 4.0, 10.0, True), at).dump(), 100 + n)
+    core.part_status(
+        1.0,
+        {
+            "zone": "a", "token": 2, "seen": 500, "machines": machines, "jobs": {}, "gangs": {},
+            "clear": [], "strangers": {}, "estimates": {}, "unheard": 0,
+        },
+    )  # fmt: skip
+    placed = {
+        int(change.key.rpartition("-")[2])
+        for change in core.plan(1.0, 1.0)
+        if change.key.startswith(JOBS) and change.value.get("gang")
+    }
+    assert placed == set(plain_largest_first(gangs, idle))
+
+
+def view(name: str, cpus: float) -> View:
+    room = Size(cpus, 0.0, 64.0)
+    return View(MachineId(name), TypeName("k"), ZONE, False, room, room, [], 0)
+
+
+@given(
+    rooms=st.lists(st.integers(0, 8), max_size=6),
+    cpus=st.integers(1, 4),
+    count=st.integers(1, 8),
+)
+@settings(max_examples=100, deadline=None, derandomize=True)
+def test_a_gang_fits_idle_slots_iff_a_plain_count_says_so(
+    rooms: list[int], cpus: int, count: int
+) -> None:
+    """Point two, its first step."""
+    views = [view(str(n), float(room)) for n, room in enumerate(rooms)]
+    chosen = fit_all(views, spec(count, float(cpus), 1.0, True), count)
+    assert (chosen is not None) == (sum(room // cpus for room in rooms) >= count)
+    for v in chosen or []:
+        v.take(Size(float(cpus), 0.0, 1.0))
+    assert all(v.free.cpus >= 0 for v in views)
+
+
+@given(st.sets(st.integers(0, 300)))
+def test_ranges_are_read_as_written(numbers: set[int]) -> None:
+    assert unpack(pack(numbers)) == numbers
+
+
+def test_a_need_that_fits_machines_that_are_up_rents_nothing() -> None:
+    """A gang that something else keeps from starting once rented machines without end."""
+    mirror = Mirror()
+    mirror.put(TYPES, types_value([KIND]), 1)
+    fleet = Fleet(mirror, ["a"], 1)
+    gang = spec(2, 4.0, 10.0, True)
+    needs = [Need(gang, 2, True)]
+    assert fleet.rent(0.0, 0.0, needs, [view("x", 4.0), view("y", 4.0)]) == ([], [])
+    bookings, unmet = fleet.rent(0.0, 0.0, needs, [view("x", 4.0)])
+    assert [(b.type, b.count) for b in bookings] == [("k", 1)]
+    assert unmet == []
+
+
+def test_estimates_follow_a_day_of_estimates_that_are_all_too_low() -> None:
+    estimates = Estimates()
+    asked = spec(1, 1.0, 10.0)
+    assert math.isclose(estimates.run_time(asked), 10.0)
+    for _ in range(40):
+        estimates.learn("x", 10.0, 20.0)
+    assert 18.0 < estimates.run_time(asked) < 20.5
+    estimates.learn("x", 10.0, 2000.0)
+    assert estimates.run_time(asked) < 25.0
+
+
+# Failures that were found, each with what guards against it
+
+
+def test_a_lost_forget_does_not_take_the_slot_of_a_task_assigned_anew() -> None:
+    bench = Bench(1)
+    machine = bench.names[0]
+    bench.report(machine, 0.0)
+    bench.grant("run-1", spec(1, 1.0, 10.0), 0.0)
+    task = TaskRef(JobId("run-1"), TaskIndex(0))
+    assert starts(bench.report(machine, 0.5)) == [task]
+
+    def failed(at: Seconds) -> list[Order]:
+        bench.seq += 1
+        item = TaskReport(task, bench.on[machine][task], "exited", "full", False)
+        report = Report(
+            machine, TypeName("k"), ZONE, False, 1, bench.seq, TOKEN, None, "", [item]
+        )  # fmt: skip
+        return bench.core.report(at, report, False)
+
+    assert [o.op for o in failed(1.0)] == ["forget"]
+    # The forget was lost: the same exit is reported once more, after the task was assigned.
+    assert [o.op for o in failed(1.5)] == ["forget"]
+    del bench.on[machine][task]
+    assert starts(bench.report(machine, 2.0)) == [task]
+
+
+def test_what_was_given_back_and_granted_again_runs() -> None:
+    bench = Bench(0)
+    bench.grant("run-1", spec(1, 1.0, 10.0), 0.0)
+    bench.core.tick(100.0)
+    assert bench.core.status(100.0)["jobs"]["run-1"]["returned"] == [0]
+    bench.grant("run-1", spec(1, 1.0, 10.0), 101.0)
+    assert bench.core.status(101.0)["jobs"]["run-1"]["returned"] == []
+
+
+def test_a_new_owner_does_not_start_again_what_may_be_on_an_unheard_machine() -> None:
+    old = Bench(2)
+    for name in old.names:
+        old.report(name, 0.0)
+    old.grant("run-1", spec(2, 4.0, 10.0), 0.0)
+    assert len(starts(old.report(old.names[0], 1.0))) == 1
+    core = PartCore(ZONE, Token(60), old.mirror, Estimates(), 2.0)
+
+    def report(name: MachineId, seq: int, token: int, on: dict[TaskRef, Attempt]) -> list[Order]:
+        tasks = [TaskReport(t, a, "running", None, False) for t, a in on.items()]
+        said = Report(name, TypeName("k"), ZONE, False, 1, seq, Token(token), None, "", tasks)
+        return core.report(3.0, said, True)
+
+    # The second machine reports under the old token, then under the new one: still nothing
+    # may start, for the first has not been heard.
+    assert starts(report(old.names[1], 100, TOKEN, {})) == []
+    assert starts(report(old.names[1], 101, 60, {})) == []
+    assert starts(report(old.names[0], 102, 60, old.on[old.names[0]])) == []
+    running = set(old.on[old.names[0]])
+    begun = starts(report(old.names[1], 103, 60, {}))
+    assert len(begun) == 1 and not running & set(begun)
+
+
+def test_a_deleted_machine_counts_as_heard() -> None:
+    old = Bench(2)
+    old.grant("run-1", spec(1, 4.0, 10.0), 0.0)
+    core = PartCore(ZONE, Token(60), old.mirror, Estimates(), 2.0)
+    name, silent = old.names
+    said = Report(name, TypeName("k"), ZONE, False, 1, 1, Token(60), None, "", [])
+    assert starts(core.report(3.0, said, True)) == []
+    old.mirror.remove(MACHINES + silent, 10_000)
+    core.machine_changed(4.0, silent)
+    said = Report(name, TypeName("k"), ZONE, False, 1, 2, Token(60), None, "", [])
+    assert len(starts(core.report(5.0, said, True))) == 1
--- /dev/null
+++ b/tests/test_sockets.py
@@ -0,0 +1,238 @@
+"""Real controller processes on loopback, with the stand-ins behind real sockets."""
+
+from __future__ import annotations
+
+import json
+import os
+import random
+import socket
+import subprocess
+import sys
+import tempfile
+from collections.abc import Iterator
+from pathlib import Path
+from typing import Any
+
+import anyio
+import pytest
+
+from dapplewick.transport.http import Answer, HttpClient, HttpError, Request, serve_connection
+from standins import TEAMS, WORKERS, ZONES, World, now
+
+ROOT = Path(__file__).resolve().parent.parent
+
+
+def free_ports(count: int) -> list[int]:
+    sockets = [socket.socket() for _ in range(count)]
+    for s in sockets:
+        s.bind(("127.0.0.1", 0))
+    ports = [s.getsockname()[1] for s in sockets]
+    for s in sockets:
+        s.close()
+    return ports
+
+
+class RealWorld(World):
+    """The stand-ins in real time; controllers are processes reached over HTTP."""
+
+    def __init__(self, folder: Path, count: int = 2) -> None:
+        super().__init__(1, count)
+        ports = free_ports(2 * count + 2)
+        self.state_port, self.cloud_port = ports[:2]
+        self.client_ports = dict(zip(self.names, ports[2 : 2 + count], strict=True))
+        peer_ports = dict(zip(self.names, ports[2 + count :], strict=True))
+        self.processes: dict[str, subprocess.Popen[bytes]] = {}
+        self.files: dict[str, Path] = {}
+        for n, name in enumerate(self.names):
+            value = {
+                "host_name": name,
+                "zone": ZONES[n % 2],
+                "client_listen": f"127.0.0.1:{self.client_ports[name]}",
+                "peer_listen": f"127.0.0.1:{peer_ports[name]}",
+                "peers": [
+                    {"host_name": o, "zone": "a", "peer_addr": f"127.0.0.1:{peer_ports[o]}"}
+                    for o in self.names
+                    if o != name
+                ],
+                "outside": {
+                    "cloud": f"127.0.0.1:{self.cloud_port}",
+                    "state": f"127.0.0.1:{self.state_port}",
+                },
+                "deployment": {
+                    "count": count,
+                    "zones": ZONES,
+                    "teams": TEAMS,
+                    "objectives": [],
+                    "workers": WORKERS,
+                    "state": {"rps": 200.0, "write_rps": 80.0, "value_kb": 16.0, "txn_ops": 12},
+                    "cloud": {"rps": 8.0, "list_lag_s": 4.0},
+                    "time_bound_ms": 50.0,
+                },
+                "a_new_field": [1, 2, 3],
+            }
+            self.files[name] = folder / f"{name}.json"
+            self.files[name].write_text(json.dumps(value))
+
+    def start_node(self, name: str) -> None:
+        environment = os.environ | {"LOG_LEVEL": "error"}
+        self.processes[name] = subprocess.Popen(
+            [sys.executable, str(ROOT / "run.py"), "--config", str(self.files[name])],
+            env=environment,
+        )
+
+    def crash(self, name: str) -> None:
+        self.processes[name].kill()
+        self.processes[name].wait()
+
+    async def call(self, name: str, method: str, path: str, body: bytes = b"") -> tuple[int, Any]:
+        client = HttpClient("127.0.0.1", self.client_ports[name], most=0)
+        try:
+            status, answer = await client.request(method, path, body or None, 4.0)
+        except HttpError:
+            return 0, {}
+        return status, json.loads(answer)
+
+    async def to_node(self, name: str, request: Request, worker: object = None) -> Answer | None:
+        status, said = await self.call(name, request.method, request.target, request.body)
+        return Answer(status, json.dumps(said).encode()) if status else None
+
+    async def ask(self, method: str, path: str, body: bytes = b"") -> tuple[int, Any]:
+        return await self.call(self.random.choice(self.names), method, path, body)
+
+    async def serve(self, port: int, service: Any) -> None:
+        listener = await anyio.create_tcp_listener(local_host="127.0.0.1", local_port=port)
+
+        async def handle(request: Request) -> Answer:
+            return Answer(*await service.answer(request.method, request.target, request.body))
+
+        await listener.serve(lambda stream: serve_connection(stream, handle))
+
+    async def run(self, script: Any) -> None:
+        async with anyio.create_task_group() as group:
+            self.group = group
+            group.start_soon(self.serve, self.state_port, self.state)
+            group.start_soon(self.serve, self.cloud_port, self.cloud)
+            await anyio.sleep(0.1)
+            for name in self.names:
+                self.start_node(name)
+
+            async def ticks() -> None:
+                while True:
+                    await anyio.sleep(0.1)
+                    self.tick()
+                    self.cloud.snapshot()
+
+            group.start_soon(ticks)
+            try:
+                await script()
+            finally:
+                group.cancel_scope.cancel()
+
+
+@pytest.fixture
+def world() -> Iterator[RealWorld]:
+    with tempfile.TemporaryDirectory() as folder:
+        made = RealWorld(Path(folder))
+        yield made
+        for process in made.processes.values():
+            process.kill()
+            process.wait()
+
+
+async def until_healthy(world: RealWorld) -> None:
+    for _ in range(200):
+        answers = [await world.call(n, "GET", "/healthz") for n in world.names]
+        if all(status == 200 for status, _ in answers):
+            return
+        await anyio.sleep(0.1)
+    raise AssertionError("not healthy")
+
+
+async def raw(port: int, data: bytes) -> bytes:
+    stream = await anyio.connect_tcp("127.0.0.1", port)
+    async with stream:
+        await stream.send(data)
+        with anyio.move_on_after(5):
+            return await stream.receive()
+    return b""
+
+
+def test_jobs_run_through_a_crash_and_bad_input_ends_nothing(world: RealWorld) -> None:
+    async def script() -> None:
+        await until_healthy(world)
+        port = world.client_ports["n0"]
+        assert b" 400 " in (await raw(port, b"nonsense\r\n\r\n"))[:20]
+        big = b"POST /v2/runs HTTP/1.1\r\nHost: x\r\nContent-Length: 70000\r\n\r\n" + b" " * 70000
+        assert b" 400 " in (await raw(port, big))[:20]
+        checks = [
+            ("POST", "/v2/runs", b"not json", 400),
+            ("POST", "/v2/runs", b"[]", 400),
+            ("GET", "/v2/runs", b"", 405),
+            ("GET", "/nowhere", b"", 404),
+            ("GET", "/v2/runs/run-999999", b"", 404),
+            ("POST", "/v2/runs/run-999999/abort", b"", 404),
+            ("POST", "/checkin", b'{"loom":3}', 400),
+        ]
+        for method, path, body, status in checks:
+            assert (await world.call("n0", method, path, body))[0] == status, path
+        array = world.job(name_id="run-000001", true_s=1.0, pieces=3)
+        gang = world.job(name_id="run-000002", true_s=1.0, pieces=2, shape="group")
+        ended = world.job(name_id="run-000003", true_s=60.0, pieces=2)
+        async with anyio.create_task_group() as users:
+            for body, cancel in ((array, None), (gang, None), (ended, 3.0)):
+                users.start_soon(world.user, body["name_id"], body, cancel)
+            await anyio.sleep(1.5)
+            world.crash("n1")
+            await anyio.sleep(0.3)
+            world.start_node("n1")
+            for _ in range(500):
+                await anyio.sleep(0.1)
+                if [world.told.get(f"run-{n:06d}") for n in (1, 2, 3)] == [
+                    "done", "done", "withdrawn",
+                ]:  # fmt: skip
+                    break
+            users.cancel_scope.cancel()
+        assert world.broken == []
+        assert world.told == {
+            "run-000001": "done", "run-000002": "done", "run-000003": "withdrawn",
+        }  # fmt: skip
+        assert all(p.poll() is None for p in world.processes.values())
+        assert now() > 0
+
+    anyio.run(world.run, script)
+
+
+@pytest.mark.parametrize(
+    ("change", "field"),
+    [
+        ({"host_name": None}, "host_name"),
+        ({"client_listen": "nowhere"}, "client_listen"),
+        ({"peers": [{"host_name": "x", "zone": "a", "peer_addr": 5}]}, "peers[0].peer_addr"),
+        (None, "settings"),
+    ],
+)
+def test_bad_settings_end_the_start_with_one_line(
+    change: dict[str, Any] | None, field: str, world: RealWorld
+) -> None:
+    path = world.files["n0"]
+    value = json.loads(path.read_text())
+    path.write_text("{" if change is None else json.dumps(value | change))
+    done = subprocess.run(
+        [sys.executable, str(ROOT / "run.py"), "--config", str(path)],
+        capture_output=True,
+        timeout=30,
+    )
+    assert done.returncode == 2
+    lines = done.stderr.decode().strip().splitlines()
+    assert len(lines) == 1 and field in lines[0]
+
+
+def test_random_bytes_are_no_report() -> None:
+    from dapplewick.protocol.wire import Malformed, parse_report, parse_submission
+
+    pick = random.Random(5)
+    for _ in range(300):
+        junk = bytes(pick.randrange(256) for _ in range(pick.randrange(60)))
+        for parse in (parse_report, parse_submission):
+            with pytest.raises(Malformed):
+                parse(junk)
