--- /dev/null
+++ b/src/dapplewick/__main__.py
@@ -0,0 +1,3 @@
+from dapplewick.cli import main
+
+main()
--- /dev/null
+++ b/src/dapplewick/cli.py
@@ -0,0 +1,155 @@
+"""The command line."""
+
+from __future__ import annotations
+
+import sys
+from collections.abc import Callable, Coroutine
+from typing import Any
+
+import anyio
+import click
+import msgspec
+
+from dapplewick import __version__, client
+from dapplewick.config import SettingsError, load
+from dapplewick.script import ScriptError
+from dapplewick.script import load as load_script
+from dapplewick.service import SCRIPT_VARIABLE, run_controller
+
+
+class Failure(click.ClickException):
+    """One line on standard error, with an exit code."""
+
+    def __init__(self, message: str) -> None:
+        super().__init__(" ".join(message.split()))
+
+    def show(self, file: Any = None) -> None:
+        click.echo(f"dapplewick: {self.message}", err=True)
+
+
+class BadInput(Failure):
+    """What was given can't be used."""
+
+    exit_code = 2
+
+
+def _await(call: Callable[[], Coroutine[Any, Any, dict[str, Any]]]) -> dict[str, Any]:
+    try:
+        return anyio.run(call)
+    except client.ClientError as err:
+        raise Failure(str(err)) from None
+
+
+def _json(value: Any) -> None:
+    click.echo(msgspec.json.format(msgspec.json.encode(value)).decode())
+
+
+@click.group()
+@click.version_option(__version__, prog_name="dapplewick")
+def main() -> None:
+    """A cluster scheduler for gangs and arrays on rented machines."""
+
+
+config_option = click.option("--config", required=True, help="The platform's settings file.")
+script_option = click.option(
+    "--script", envvar=SCRIPT_VARIABLE, help=f"Operators' Starlark script ({SCRIPT_VARIABLE})."
+)
+user_option = click.option("--at", required=True, help="host:port that users reach.")
+
+
+@main.command()
+@config_option
+@script_option
+def run(config: str, script: str | None) -> None:
+    """Run one controller until it is killed."""
+    sys.exit(run_controller(config, script))
+
+
+@main.command()
+@config_option
+@script_option
+def check(config: str, script: str | None) -> None:
+    """Check a settings file and a script without starting."""
+    try:
+        settings = load(config)
+    except SettingsError as err:
+        raise BadInput(f"settings: {err}") from None
+    click.echo(f"settings: good; {settings.host_name} of {settings.deployment.count} controllers")
+    if script:
+        try:
+            tuning = load_script(script)
+        except ScriptError as err:
+            raise BadInput(f"script: {err}") from None
+        click.echo("script: good")
+        _json(msgspec.to_builtins(tuning))
+
+
+@main.command()
+@click.option("--at", required=True, help="host:port of a controller's peer address.")
+@click.option("--json", "as_json", is_flag=True, help="JSON instead of text.")
+def status(at: str, as_json: bool) -> None:
+    """Ask a running controller how it is."""
+    said = _await(lambda: client.status(at))
+    if as_json:
+        _json(said)
+    else:
+        for line in status_lines(said):
+            click.echo(line)
+
+
+def status_lines(said: dict[str, Any]) -> list[str]:
+    """A status as text."""
+    lines = [
+        f"node {said['node']}  version {said['version']}  ready {said['ready']}  "
+        f"lease {said['lease_left_s']} s  records {said['records_age_s']} s old",
+        f"leader {said['leader'] or 'none'}  epoch {said['epoch']}",
+    ]
+    for zone, part in sorted(said["parts"].items()):
+        lines.append(f"part {zone}  owner {part['owner']}  token {part['token']}")
+    jobs = said["jobs"]
+    lines.append("jobs " + "  ".join(f"{stage} {n}" for stage, n in sorted(jobs.items())))
+    budgets = said["budgets"]
+    lines.append("budgets " + "  ".join(f"{name} {left}" for name, left in budgets.items()))
+    for zone, part in sorted(said["owned"].items()):
+        lines.append(f"owned {zone}  unheard {part['unheard']}  loose singles {part['loose']}")
+        for name, machine in sorted(part["machines"].items()):
+            free = machine["free"]
+            lines.append(
+                f"  machine {name}  {machine['type']}  tasks {machine['tasks']}  "
+                f"slots {machine['slots']}  queued {machine['queued']}  "
+                f"free {free[0]:g} CPUs {free[1]:g} GPUs {free[2]:g} GB  "
+                f"silent {machine['silent']} s"
+            )
+        for job, hold in sorted(part["held"].items()):
+            lines.append(f"  gang {job}  {hold['state']}  remaining wait {hold['wait_s']} s")
+    for name, times in sorted(said["latencies_ms"].items()):
+        lines.append(
+            f"latency {name}  count {times['count']}  p50 {times['p50']:g} ms  "
+            f"p95 {times['p95']:g} ms  max {times['max']:g} ms"
+        )
+    return lines
+
+
+@main.command()
+@user_option
+@click.argument("file", type=click.File("rb"))
+def submit(at: str, file: Any) -> None:
+    """Submit a job: FILE holds its JSON, - is standard input."""
+    data = file.read()
+    _json(_await(lambda: client.submit(at, data)))
+
+
+@main.command()
+@user_option
+@click.argument("job")
+def poll(at: str, job: str) -> None:
+    """Ask for a job's state."""
+    _json(_await(lambda: client.poll(at, job)))
+
+
+@main.command()
+@user_option
+@click.argument("job")
+def cancel(at: str, job: str) -> None:
+    """Cancel a job."""
+    _json(_await(lambda: client.cancel(at, job)))
--- a/src/dapplewick/core/demand.py
+++ b/src/dapplewick/core/demand.py
@@ -63,8 +63,9 @@
     without accelerators use only what is left beside a few idle slots of the gangs' size.
     """
 
-    def __init__(self, mirror: Mirror) -> None:
+    def __init__(self, mirror: Mirror, factor: float = 1.0) -> None:
         self.mirror = mirror
+        self._factor = factor
         self._count = 0.0
         self._at: Seconds | None = None
         self._begun = 0.0
@@ -97,7 +98,8 @@
         weight = 1.0 - math.exp(-max(5.0, now - self._begun) / MEMORY_S)
         mean = self._count / (weight * MEMORY_S) * GANG_WINDOW_S
         # Once and a half the square root above the mean, as for any arrivals by chance.
-        self.slots = mean + 1.5 * math.sqrt(mean) if in_the_way >= self.rank else 0.0
+        wanted = self._factor * (mean + 1.5 * math.sqrt(mean))
+        self.slots = wanted if in_the_way >= self.rank else 0.0
 
     def applies(self, spec: JobSpec) -> bool:
         """Whether this work would be in the way of gangs."""
--- a/src/dapplewick/core/fleet.py
+++ b/src/dapplewick/core/fleet.py
@@ -10,13 +10,12 @@
 from dapplewick.core.model import View, room_for, take_times
 from dapplewick.protocol.wire import JobSpec, MachineType
 from dapplewick.storage.records import BookingRecord, Mirror
+from dapplewick.tuning import Tuning
 from dapplewick.types import MachineId, Seconds, TypeName, Zone
 
 log = logging.getLogger("dapplewick.fleet")
 
 REFUSED_S = 20.0  # how long "no capacity" is believed
-IDLE_S = 60.0  # an idle machine is kept this long
-IDLE_ACCELERATOR_S = 25.0  # and one with accelerators, which costs many times as much
 BOOT_TIMES = 4.0  # a machine that takes longer than this times its usual boot is given up
 BOOT_LEAST_S = 60.0
 OVERDUE_TIMES = 1.7  # a machine that boots for longer is no longer counted on
@@ -41,7 +40,10 @@
 class Fleet:
     """Decides on machines; it neither writes nor calls."""
 
-    def __init__(self, mirror: Mirror, zones: list[str], seed: int) -> None:
+    def __init__(
+        self, mirror: Mirror, zones: list[str], seed: int, tuning: Tuning | None = None
+    ) -> None:
+        self.tuning = tuning or Tuning()
         self.mirror = mirror
         self.zones = zones
         self.random = random.Random(seed)
@@ -78,6 +80,9 @@
 
     def _offers(self, now: Seconds, spec: JobSpec, zones: list[str]) -> list[Offer]:
         offers = []
+        # One request at a time for each kind of machine: what is asked of a cloud that has
+        # nothing left would pile up otherwise, in front of what it has.
+        pending = {(b.type, b.zone, b.spot) for b in self.mirror.bookings.values()}
         for kind in (self.prices or self.mirror.types).values():
             if spec.types is not None and kind.name not in spec.types:
                 continue
@@ -87,8 +92,9 @@
                 if zone not in zones or (spec.zone is not None and spec.zone != zone):
                     continue
                 for spot in (True, False) if spec.spot else (False,):
-                    asked = self.refused.get((kind.name, zone, spot))
-                    if asked is None or now - asked > REFUSED_S:
+                    key = (kind.name, zone, spot)
+                    asked = self.refused.get(key)
+                    if key not in pending and (asked is None or now - asked > REFUSED_S):
                         price = kind.spot_price if spot else kind.price
                         offers.append(Offer(kind, zone, spot, price))
         return offers
@@ -151,7 +157,7 @@
         while count > 0 and sum(asked.values()) < MOST_AT_ONCE:
             open_zones = [z for z in zones if left[z] > 0]
             offer = self._best(now, spec, count, asked, open_zones)
-            if offer is None:
+            if offer is None or self._over_cap(offer, asked):
                 return False
             key = (offer.type.name, offer.zone, offer.spot)
             asked[key] = asked.get(key, 0) + 1
@@ -163,6 +169,21 @@
             pool.append(view)
         return count == 0
 
+    def _hourly(self, type_: str, spot: bool) -> float:
+        kind = self.prices.get(type_) or self.mirror.types.get(type_)
+        if kind is None:
+            return 0.0
+        return kind.spot_price if spot else kind.price
+
+    def _over_cap(self, offer: Offer, asked: dict[tuple[str, str, bool], int]) -> bool:
+        """Whether one more machine would cost more than operators allow."""
+        if not self.tuning.spend_cap:
+            return False
+        spent = sum(self._hourly(m.type, m.spot) for m in self.mirror.machines.values())
+        spent += sum(self._hourly(b.type, b.spot) * b.count for b in self.mirror.bookings.values())
+        spent += sum(self._hourly(type_, spot) * n for (type_, _, spot), n in asked.items())
+        return spent + offer.price > self.tuning.spend_cap
+
     def _best(
         self,
         now: Seconds,
@@ -185,7 +206,9 @@
     def patience(self, type_: str) -> Seconds:
         """How long a machine of this type may idle before it is returned."""
         kind = self.mirror.types.get(type_)
-        return IDLE_ACCELERATOR_S if kind is not None and kind.gpus > 0 else IDLE_S
+        if kind is not None and kind.gpus > 0:
+            return self.tuning.idle_accelerator_s
+        return self.tuning.idle_s
 
     def boot_limit(self, type_: str) -> Seconds:
         kind = self.mirror.types.get(type_)
--- a/src/dapplewick/core/leader.py
+++ b/src/dapplewick/core/leader.py
@@ -37,6 +37,7 @@
     MachineRecord,
     Mirror,
 )
+from dapplewick.tuning import Tuning
 from dapplewick.types import (
     PER_TOKEN,
     JobId,
@@ -52,8 +53,6 @@
 
 STATUS_S = 6.0  # a part silent for longer gets no new work
 PROGRESS_S = 1.0  # done tasks of an unfinished job are stored at most this often
-PATIENCE_S = 4.0  # a gang waits this long before work of lower priority is stopped for it
-HORIZON_S = 60.0  # waiting singles should all have started within this time
 STARVED_S = 60.0  # a gang that waited this long holds whatever it can
 QUEUE_LEAST = 2
 LOAD_LOG_S = 10.0
@@ -80,16 +79,23 @@
     """Plans of one term of leadership."""
 
     def __init__(
-        self, mirror: Mirror, settings: Settings, estimates: Estimates, epoch: Token, now: Seconds
+        self,
+        mirror: Mirror,
+        settings: Settings,
+        estimates: Estimates,
+        epoch: Token,
+        now: Seconds,
+        tuning: Tuning | None = None,
     ) -> None:
+        self.tuning = tuning or Tuning()
         self.mirror = mirror
         self.settings = settings.deployment
         self.estimates = estimates
         self.epoch = epoch
         self.started = now
         self.demand = AcceleratorDemand(mirror)
-        self.gangs = GangDemand(mirror)
-        self.fleet = Fleet(mirror, settings.deployment.zones, epoch)
+        self.gangs = GangDemand(mirror, self.tuning.spare_slots)
+        self.fleet = Fleet(mirror, settings.deployment.zones, epoch, self.tuning)
         self.status: dict[Zone, PartStatus] = {}
         self.rented: dict[str, list[MachineId] | None] = {}
         self.deleted: set[MachineId] = set()
@@ -394,7 +400,7 @@
         held: tuple[float, list[View], bool] | None = None
         if one_part:
             for zone_views in views.values():
-                option = fit_held(zone_views, spec, count, PATIENCE_S, limit)
+                option = fit_held(zone_views, spec, count, self.tuning.patience_s, limit)
                 if option is not None:
                     wait = 0.0
                     for view in option[0]:
@@ -461,6 +467,7 @@
             key=lambda o: (
                 -o[1].spec.rank,
                 o[0] not in within,
+                -self.tuning.class_weights.get(o[1].spec.bundle, 1.0),
                 self._due(o[1]),
                 o[1].at,
                 o[0],
@@ -701,7 +708,7 @@
             groups.setdefault(key, []).append(entry)
         for entries in groups.values():
             work, running, waiting, largest = 0.0, 0, 0, entries[0][1].spec
-            horizon = HORIZON_S
+            horizon = self.tuning.horizon_s
             for job_id, job, left in entries:
                 placed = sum(
                     s.body["jobs"][job_id]["placed"]
--- a/src/dapplewick/core/part.py
+++ b/src/dapplewick/core/part.py
@@ -17,6 +17,7 @@
 from dapplewick.core.estimates import Estimates
 from dapplewick.protocol.wire import JobSpec, Order, Report, TaskReport
 from dapplewick.storage.records import JobRecord, Mirror
+from dapplewick.tuning import Tuning
 from dapplewick.types import (
     NOTHING,
     PER_TOKEN,
@@ -140,16 +141,14 @@
         estimates: Estimates,
         now: Seconds,
         *,
-        threshold: Seconds = 0.0,
-        lease_s: Seconds = 15.0,
+        tuning: Tuning | None = None,
         seed: int = 0,
     ) -> None:
         self.zone = zone
         self.token = token
         self.mirror = mirror
         self.estimates = estimates
-        self.threshold = threshold
-        self.lease_s = lease_s
+        self.threshold = (tuning or Tuning()).threshold_s
         self.started = now
         self.random = random.Random(seed ^ token)
         self.machines: dict[MachineId, Machine] = {}
@@ -161,7 +160,7 @@
         self.strangers: dict[MachineId, Report] = {}
         self.dirty = True
         self.demand = AcceleratorDemand(mirror)
-        self.gang_demand = GangDemand(mirror)
+        self.gang_demand = GangDemand(mirror, (tuning or Tuning()).spare_slots)
         self.demand.update(now)
         self._attempts = 0
         # Tasks granted before this ownership may be on any machine the old owner could use:
@@ -944,7 +943,10 @@
         return any(t.job == job_id for m in self.machines.values() for t in m.live)
 
     def _gang_state(self, job_id: JobId, hold: Hold) -> str:
-        if self.done_gangs.get(job_id) == hold.attempt:
+        job = self.mirror.jobs.get(job_id)
+        # Of a cancelled gang nobody wants the result; what counts is that it is gone. Else it
+        # would count against its team's limit for ever.
+        if job is not None and job.open and self.done_gangs.get(job_id) == hold.attempt:
             return "done"
         if not self._gang_wanted(job_id):
             return "busy" if self._gang_there(job_id, hold) else "clear"
--- /dev/null
+++ b/src/dapplewick/metrics.py
@@ -0,0 +1,33 @@
+"""Latencies and waits, counted in histograms."""
+
+from __future__ import annotations
+
+from typing import Any
+
+from hdrh.histogram import HdrHistogram
+
+LOWEST_MS, HIGHEST_MS, DIGITS = 1, 3_600_000, 2
+
+
+class Latencies:
+    """A histogram in milliseconds for each thing that is measured."""
+
+    def __init__(self) -> None:
+        self._histograms: dict[str, HdrHistogram] = {}
+
+    def record(self, name: str, seconds: float) -> None:
+        histogram = self._histograms.get(name)
+        if histogram is None:
+            histogram = self._histograms[name] = HdrHistogram(LOWEST_MS, HIGHEST_MS, DIGITS)
+        histogram.record_value(min(HIGHEST_MS, max(LOWEST_MS, round(seconds * 1000))))
+
+    def view(self) -> dict[str, dict[str, Any]]:
+        return {
+            name: {
+                "count": histogram.get_total_count(),
+                "p50": histogram.get_value_at_percentile(50),
+                "p95": histogram.get_value_at_percentile(95),
+                "max": histogram.get_max_value(),
+            }
+            for name, histogram in self._histograms.items()
+        }
--- a/src/dapplewick/node.py
+++ b/src/dapplewick/node.py
@@ -11,13 +11,15 @@
 import anyio
 import anyio.abc
 
-from dapplewick.api import NO_METHOD, NO_PATH, Api
+from dapplewick.api import NO_METHOD, NO_PATH, PATH, Api
 from dapplewick.config import Settings, host_port
 from dapplewick.coordination.parts import PartAssigner
 from dapplewick.core.estimates import Estimates
 from dapplewick.core.leader import Change, LeaderCore
 from dapplewick.core.part import PartCore
+from dapplewick.metrics import Latencies
 from dapplewick.protocol import wire
+from dapplewick.status import node_status
 from dapplewick.storage.client import (
     Budget,
     Conflict,
@@ -38,6 +40,7 @@
 )
 from dapplewick.transport.http import Answer, HttpClient, HttpError, Request, serve_connection
 from dapplewick.transport.peer import PeerLink, receive_frames
+from dapplewick.tuning import Tuning
 from dapplewick.types import JobId, MachineId, NodeName, Seconds, Token, Zone
 
 log = logging.getLogger("dapplewick.node")
@@ -77,7 +80,10 @@
         link: Callable[[str, int], PeerLink] = PeerLink,
         clock: Callable[[], Seconds] = time.monotonic,
         seed: int | None = None,
+        tuning: Tuning | None = None,
     ) -> None:
+        self.tuning = tuning or Tuning()
+        self.latencies = Latencies()
         self.settings = settings
         self.me = NodeName(settings.host_name)
         self.now = clock
@@ -163,8 +169,7 @@
                 log.info("event=part_lost zone=%s token=%d", zone, core.token)
             if mine and (core is None or core.token != token):
                 self.cores[zone] = PartCore(
-                    zone, token, self.mirror, self.estimates, now,
-                    lease_s=self.settings.deployment.workers.lease_s,
+                    zone, token, self.mirror, self.estimates, now, tuning=self.tuning
                 )  # fmt: skip
                 log.info("event=part_owned zone=%s token=%d", zone, token)
 
@@ -327,7 +332,9 @@
         epoch = Token(self.mirror.version(LEADER))
         now = self.now()
         if self.leader is None:
-            self.leader = LeaderCore(self.mirror, self.settings, self.estimates, epoch, now)
+            self.leader = LeaderCore(
+                self.mirror, self.settings, self.estimates, epoch, now, self.tuning
+            )
             self.state.writes.rate = self._many_writes
             log.info("event=leader_won node=%s epoch=%d", self.me, epoch)
         self.leader.epoch = epoch
@@ -514,8 +521,10 @@
             for link in self.links.values():
                 link.post("node", message)
 
-    def on_message(self, message: dict[str, Any]) -> None:
+    def on_message(self, message: dict[str, Any]) -> dict[str, Any] | None:
         kind = message.get("kind")
+        if kind == "status":
+            return node_status(self)
         if kind == "part":
             if self.leader is not None:
                 self.leader.part_status(self.now(), message)
@@ -527,6 +536,7 @@
             for zone, (token, owner) in message["parts"].items():
                 if token > self._heard_parts.get(zone, (0, ""))[0]:
                     self._heard_parts[zone] = (Token(token), NodeName(owner))
+        return None
 
     def running_tasks(self, job: JobId) -> int:
         return sum(counts.get(job, 0) for counts in self._running.values())
@@ -582,8 +592,12 @@
             if request.method != "GET":
                 return NO_METHOD
             return Answer(200) if self._healthy() else Answer(503, b"{}", 1)
+        begun = self.now()
         answer = await self.api.handle(request)
-        return NO_PATH if answer is None else answer
+        if answer is None:
+            return NO_PATH
+        self.latencies.record("submit" if path == PATH else "poll", self.now() - begun)
+        return answer
 
     async def run(self) -> None:
         host, port = host_port(self.settings.client_listen, "client_listen")
--- a/src/dapplewick/service.py
+++ b/src/dapplewick/service.py
@@ -10,8 +10,10 @@
 
 from dapplewick.config import Settings, SettingsError, load
 from dapplewick.node import Node
+from dapplewick.tuning import Tuning
 
 LEVELS = {"error": logging.ERROR, "info": logging.INFO, "debug": logging.DEBUG}
+SCRIPT_VARIABLE = "DAPPLEWICK_SCRIPT"
 
 
 def configure_logging() -> str | None:
@@ -28,26 +30,41 @@
     return None
 
 
-def serve(settings: Settings) -> int:
-    anyio.run(_run, settings)
-    return 0
-
+async def _run(settings: Settings, tuning: Tuning) -> None:
+    await Node(settings, tuning=tuning).run()
 
-async def _run(settings: Settings) -> None:
-    await Node(settings).run()
 
-
-def start(arguments: list[str]) -> int:
-    """Run with `--config FILE`; a bad settings file ends the start with one line."""
-    if len(arguments) != 2 or arguments[0] != "--config":
-        print("usage: run.py --config FILE", file=sys.stderr)
-        return 2
+def run_controller(config: str, script: str | None) -> int:
+    """Run until killed; bad settings or a bad script end the start with one line."""
+    tuning = Tuning()
     try:
-        settings = load(arguments[1])
+        settings = load(config)
     except SettingsError as err:
         print(f"dapplewick: settings: {err}", file=sys.stderr)
         return 2
+    if script:
+        from dapplewick.script import ScriptError
+        from dapplewick.script import load as load_script
+
+        try:
+            tuning = load_script(script)
+        except ScriptError as err:
+            print(f"dapplewick: script: {err}", file=sys.stderr)
+            return 2
     complaint = configure_logging()
     if complaint:
-        logging.getLogger("dapplewick").error("event=bad_log_level error=%s", complaint)
-    return serve(settings)
+        logging.getLogger("dapplewick").error("event=bad_log_level error=%r", complaint)
+    try:
+        anyio.run(_run, settings, tuning)
+    except OSError as err:
+        print(f"dapplewick: can't listen: {err}", file=sys.stderr)
+        return 1
+    return 0
+
+
+def start(arguments: list[str]) -> int:
+    """The platform's way to start: `--config FILE`, and a script only from the environment."""
+    if len(arguments) != 2 or arguments[0] != "--config":
+        print("usage: run.py --config FILE", file=sys.stderr)
+        return 2
+    return run_controller(arguments[1], os.environ.get(SCRIPT_VARIABLE))
--- /dev/null
+++ b/src/dapplewick/status.py
@@ -0,0 +1,73 @@
+"""What a controller tells of itself; it only reads."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Any
+
+from dapplewick import __version__
+from dapplewick.core.part import PartCore
+from dapplewick.storage.records import LEADER, PARTS
+from dapplewick.types import Seconds
+
+if TYPE_CHECKING:
+    from dapplewick.node import Node
+
+
+def node_status(node: Node) -> dict[str, Any]:
+    """A status as plain values, for the command line and later consoles."""
+    now = node.now()
+    mirror = node.mirror
+    jobs: dict[str, int] = {}
+    for job in mirror.jobs.values():
+        jobs[job.stage] = jobs.get(job.stage, 0) + 1
+    return {
+        "node": node.me,
+        "version": __version__,
+        "ready": node.ready,
+        "lease_left_s": round(max(0.0, node.lease_until - now), 1),
+        "records_age_s": round(now - node.current_at, 1),
+        "leader": mirror.leader.node if mirror.leader is not None else None,
+        "epoch": mirror.version(LEADER),
+        "parts": {
+            zone: {"owner": part.owner, "token": mirror.version(PARTS + zone)}
+            for zone, part in mirror.parts.items()
+        },
+        "jobs": jobs,
+        "machines": {
+            name: {"type": m.type, "zone": m.zone, "spot": m.spot, "up": m.up, "doomed": m.doomed}
+            for name, m in mirror.machines.items()
+        },
+        "bookings": len(mirror.bookings),
+        "budgets": {
+            "state_calls": round(node.state.calls.level(), 1),
+            "state_writes": round(node.state.writes.level(), 1),
+            "cloud_calls": round(node.cloud_budget.level(), 1),
+        },
+        "owned": {zone: _part(now, core) for zone, core in node.cores.items()},
+        "latencies_ms": node.latencies.view(),
+    }
+
+
+def _part(now: Seconds, core: PartCore) -> dict[str, Any]:
+    status = core.status(now)
+    core.dirty = True
+    return {
+        "token": core.token,
+        "unheard": status["unheard"],
+        "loose": len(core.loose),
+        "machines": {
+            name: {
+                "type": core.machines[name].type,
+                "tasks": len(core.machines[name].live),
+                "slots": len(core.machines[name].slots),
+                "queued": body["queued"],
+                "free": body["free"],
+                "silent": body["silent"],
+            }
+            for name, body in status["machines"].items()
+        },
+        "held": {
+            job: {"attempt": attempt, "state": state, "wait_s": wait}
+            for job, (attempt, state, wait) in status["gangs"].items()
+        },
+    }
--- a/src/dapplewick/storage/client.py
+++ b/src/dapplewick/storage/client.py
@@ -47,6 +47,10 @@
         self._level = rate
         self._at = -1e9
 
+    def level(self) -> float:
+        """What is left now."""
+        return min(self.rate, self._level + (anyio.current_time() - self._at) * self.rate)
+
     def take(self, amount: float = 1.0, reserve: float = 0.0) -> bool:
         """Take an amount; `reserve` is left for calls that matter more."""
         now = anyio.current_time()
--- a/src/dapplewick/transport/peer.py
+++ b/src/dapplewick/transport/peer.py
@@ -42,10 +42,7 @@
                     with anyio.fail_after(CONNECT_S):
                         stream = await anyio.connect_tcp(self._host, self._port)
                 batch, self._waiting = list(self._waiting.values()), {}
-                data = b""
-                for message in batch:
-                    frame = cbor2.dumps(message)
-                    data += len(frame).to_bytes(4, "big") + frame
+                data = b"".join(_frame(message) for message in batch)
                 with anyio.fail_after(SEND_S):
                     await stream.send(data)
             except (OSError, TimeoutError, anyio.BrokenResourceError, anyio.ClosedResourceError):
@@ -56,30 +53,57 @@
                 await anyio.sleep(RETRY_S)
 
 
+def _frame(message: dict[str, Any]) -> bytes:
+    frame = cbor2.dumps(message)
+    return len(frame).to_bytes(4, "big") + frame
+
+
+async def send_frame(stream: anyio.abc.ByteSendStream, message: dict[str, Any]) -> None:
+    await stream.send(_frame(message))
+
+
+async def read_frame(stream: anyio.abc.ByteReceiveStream, buffer: bytearray) -> dict[str, Any]:
+    """Read one message. Raises ValueError or a CBOR error for a malformed one; the stream is
+    then at the next message, unless the length itself was bad."""
+    while len(buffer) < 4:
+        buffer += await stream.receive(65536)
+    size = int.from_bytes(buffer[:4], "big")
+    if size > MAX_FRAME:
+        raise FrameTooLarge(f"a frame of {size} bytes")
+    while len(buffer) < 4 + size:
+        buffer += await stream.receive(65536)
+    frame = bytes(buffer[4 : 4 + size])
+    del buffer[: 4 + size]
+    message = cbor2.loads(frame)
+    if not isinstance(message, dict):
+        raise ValueError("not a map")
+    return message
+
+
+class FrameTooLarge(ValueError):
+    """The length in front of a frame is out of bounds."""
+
+
 async def receive_frames(
-    stream: anyio.abc.ByteStream, handle: Callable[[dict[str, Any]], None]
+    stream: anyio.abc.ByteStream,
+    handle: Callable[[dict[str, Any]], dict[str, Any] | None],
 ) -> None:
-    """Read one peer's messages. A malformed one is logged and ends only its connection."""
+    """Read one peer's messages, and answer those that have an answer. A malformed message is
+    logged and ends nothing else."""
     buffer = bytearray()
     async with stream:
         while True:
             try:
-                buffer += await stream.receive(65536)
-            except (OSError, anyio.EndOfStream, anyio.BrokenResourceError):
+                answer = handle(await read_frame(stream, buffer))
+                if answer is not None:
+                    with anyio.fail_after(SEND_S):
+                        await send_frame(stream, answer)
+            except (
+                OSError, TimeoutError, anyio.EndOfStream,
+                anyio.BrokenResourceError, anyio.ClosedResourceError,
+            ):  # fmt: skip
                 return
-            while len(buffer) >= 4:
-                size = int.from_bytes(buffer[:4], "big")
-                if size > MAX_FRAME:
-                    log.error("event=peer_refused reason=frame_too_large size=%d", size)
+            except Exception as err:
+                log.error("event=peer_refused reason=malformed error=%r", err)
+                if isinstance(err, FrameTooLarge):
                     return
-                if len(buffer) < 4 + size:
-                    break
-                frame = bytes(buffer[4 : 4 + size])
-                del buffer[: 4 + size]
-                try:
-                    message = cbor2.loads(frame)
-                    if not isinstance(message, dict):
-                        raise ValueError("not a map")
-                    handle(message)
-                except Exception as err:
-                    log.error("event=peer_refused reason=malformed error=%r", err)
--- a/tests/standins.py
+++ b/tests/standins.py
@@ -640,7 +640,10 @@
         alive = [n for n in sorted(self.nodes) if self.nodes[n].ready]
         if not alive:
             return 0, {}
-        answer = await self.to_node(self.random.choice(alive), Request(method, path, body, False))
+        answer: Answer | None = None
+        with anyio.move_on_after(5.0):  # a controller that crashes answers nobody
+            request = Request(method, path, body, False)
+            answer = await self.to_node(self.random.choice(alive), request)
         return (0, {}) if answer is None else (answer.status, json.loads(answer.body))
 
     async def user(self, job_id: str, body: dict[str, Any], cancel_after: float | None) -> None:
--- a/tests/test_four_points.py
+++ b/tests/test_four_points.py
@@ -13,7 +13,16 @@
 from dapplewick.core.part import PartCore
 from dapplewick.protocol.wire import JobSpec, MachineType, Order, Report, TaskReport, types_value
 from dapplewick.storage.ranges import pack, unpack
-from dapplewick.storage.records import JOBS, MACHINES, TYPES, GangPlace, JobRecord, Mirror
+from dapplewick.storage.records import (
+    CANCELLED,
+    JOBS,
+    MACHINES,
+    TYPES,
+    GangPlace,
+    JobRecord,
+    Mirror,
+)
+from dapplewick.tuning import Tuning
 from dapplewick.types import (
     Attempt,
     JobId,
@@ -62,7 +71,7 @@
             record = {"type": "k", "zone": "a", "spot": False, "at": 0.0, "up": True}
             self.put(MACHINES + name, record)
         self.core = PartCore(
-            ZONE, TOKEN, self.mirror, Estimates(), 0.0, threshold=threshold, seed=1
+            ZONE, TOKEN, self.mirror, Estimates(), 0.0, tuning=Tuning(threshold_s=threshold), seed=1
         )
         self.seq = 0
         self.on: dict[MachineId, dict[TaskRef, Attempt]] = {n: {} for n in self.names}
@@ -380,3 +389,19 @@
     core.machine_changed(4.0, silent)
     said = Report(name, TypeName("k"), ZONE, False, 1, 2, Token(60), None, "", [])
     assert len(starts(core.report(5.0, said, True))) == 1
+
+
+def test_a_gang_cancelled_before_its_result_was_stored_is_cleared() -> None:
+    bench = Bench(1)
+    machine = bench.names[0]
+    bench.report(machine, 0.0)
+    bench.hold("run-1", spec(1, 2.0, 10.0, gang=True), [machine], 0.0)
+    (task,) = starts(bench.report(machine, 1.0))
+    bench.report(machine, 2.0, {task})
+    assert bench.core.status(2.0)["gangs"]["run-1"][1] == "done"
+    record = JobRecord.load(bench.mirror.jobs[JobId("run-1")].dump(), 0)
+    record.stage = CANCELLED
+    bench.put(JOBS + "run-1", record.dump())
+    bench.core.job_changed(3.0, JobId("run-1"))
+    bench.report(machine, 3.0)
+    assert bench.core.status(3.0)["gangs"]["run-1"][1] == "clear"
