--- a/src/dapplewick/core/fleet.py
+++ b/src/dapplewick/core/fleet.py
@@ -19,6 +19,7 @@
 BOOT_TIMES = 4.0  # a machine that takes longer than this times its usual boot is given up
 BOOT_LEAST_S = 60.0
 OVERDUE_TIMES = 1.7  # a machine that boots for longer is no longer counted on
+IDLE_TIMES = 5.0  # a cheap machine idles at most this much longer than a middling one
 MOST_AT_ONCE = 6  # machines rented in one pass
 
 
@@ -204,11 +205,14 @@
         return best[2] if best is not None else None
 
     def patience(self, type_: str) -> Seconds:
-        """How long a machine of this type may idle before it is returned."""
-        kind = self.mirror.types.get(type_)
-        if kind is not None and kind.gpus > 0:
-            return self.tuning.idle_accelerator_s
-        return self.tuning.idle_s
+        """How long a machine of this type may idle before it is returned: idling costs about
+        the same for each, so the cheap ones are there when the next work comes."""
+        kinds = self.prices or self.mirror.types
+        kind = kinds.get(type_)
+        if kind is None or kind.price <= 0:
+            return self.tuning.idle_s
+        middling = sum(k.price for k in kinds.values()) / len(kinds)
+        return self.tuning.idle_s * min(IDLE_TIMES, middling / kind.price)
 
     def boot_limit(self, type_: str) -> Seconds:
         kind = self.mirror.types.get(type_)
--- a/src/dapplewick/core/leader.py
+++ b/src/dapplewick/core/leader.py
@@ -709,6 +709,8 @@
         for entries in groups.values():
             work, running, waiting, largest = 0.0, 0, 0, entries[0][1].spec
             horizon = self.tuning.horizon_s
+            if largest.gpus > 0:
+                horizon = self.tuning.horizon_accelerator_s
             for job_id, job, left in entries:
                 placed = sum(
                     s.body["jobs"][job_id]["placed"]
