--- a/src/dapplewick/core/demand.py
+++ b/src/dapplewick/core/demand.py
@@ -97,8 +97,8 @@
         # A fading count stands for less than its whole memory soon after the start.
         weight = 1.0 - math.exp(-max(5.0, now - self._begun) / MEMORY_S)
         mean = self._count / (weight * MEMORY_S) * GANG_WINDOW_S
-        # Once and a half the square root above the mean, as for any arrivals by chance.
-        wanted = self._factor * (mean + 1.5 * math.sqrt(mean))
+        # Gangs also end, about as many as come; what matters is how far both stray by chance.
+        wanted = self._factor * 1.5 * math.sqrt(2.0 * mean)
         self.slots = wanted if in_the_way >= self.rank else 0.0
 
     def applies(self, spec: JobSpec) -> bool:
