--- a/src/dapplewick/api.py
+++ b/src/dapplewick/api.py
@@ -42,6 +42,8 @@
 
     def running_tasks(self, job: JobId) -> int: ...
 
+    async def ask_peer(self, request: Request) -> Answer | None: ...
+
 
 def error(status: int, reason: str) -> Answer:
     return Answer(status, msgspec.json.encode({"error": reason}))
@@ -56,7 +58,18 @@
         self.teams = {t.name: t for t in deployment.teams}
 
     async def handle(self, request: Request) -> Answer | None:
-        """Answer a request under our path; None if it is another's."""
+        """Answer a request under our path; None if it is another's.
+
+        What can't be decided here because the state service does not answer this node alone
+        is put once to a peer that reaches it: every request here may be repeated.
+        """
+        answer = await self.answer(request)
+        if answer is UNAVAILABLE:
+            return await self.world.ask_peer(request) or answer
+        return answer
+
+    async def answer(self, request: Request) -> Answer | None:
+        """The same, by this node alone."""
         path = request.target.partition("?")[0]
         if path == PATH:
             if request.method != "POST":
--- a/src/dapplewick/node.py
+++ b/src/dapplewick/node.py
@@ -54,6 +54,9 @@
 STATUS_GAP_S = 0.2
 STATUS_IDLE_S = 1.5
 GOSSIP_S = 1.0
+CONTACT_S = 2.5  # a node that reached the state service in this time says so to its peers
+ASK_WITHIN_S = 1.0
+UNHEALTHY_S = 5.0  # and one that did not for so long, while a peer did, is not healthy
 CATALOG_S = 45.0
 LIST_S = 10.0
 CLOUD_CALL_S = 6.0
@@ -516,11 +519,40 @@
                 "node": self.me,
                 "running": running,
                 "parts": parts,
-                "state": self.now() - self.contact_at < 3.0,
+                "state": self.now() - self.contact_at < CONTACT_S,
             }
             for link in self.links.values():
                 link.post("node", message)
 
+    async def on_request(self, message: dict[str, Any]) -> dict[str, Any] | None:
+        """A message on a peer connection; some are answered on it."""
+        if message.get("kind") != "ask":
+            return self.on_message(message)
+        request = Request(
+            str(message["method"]), str(message["target"]), bytes(message["body"]), False
+        )
+        answer = await self.api.answer(request) or NO_PATH
+        return {"status": answer.status, "body": answer.body, "retry": answer.retry_after}
+
+    async def ask_peer(self, request: Request) -> Answer | None:
+        """Put a user's request to a peer that reaches the state service; None if none does."""
+        now = self.now()
+        able = [
+            node
+            for node, (at, ok) in self._peer_state.items()
+            if ok and now - at < 2.5 and node in self.links
+        ]
+        if not able:
+            return None
+        message = {
+            "kind": "ask", "method": request.method, "target": request.target,
+            "body": request.body,
+        }  # fmt: skip
+        said = await self.links[self.random.choice(able)].ask(message, ASK_WITHIN_S)
+        if said is None or said.get("status") in (None, 503):
+            return None
+        return Answer(int(said["status"]), bytes(said["body"]), said.get("retry"))
+
     def on_message(self, message: dict[str, Any]) -> dict[str, Any] | None:
         kind = message.get("kind")
         if kind == "status":
@@ -548,9 +580,12 @@
         if not self.ready:
             return False
         now = self.now()
-        if now - self.contact_at < 4.0:
+        if now - self.contact_at < UNHEALTHY_S:
             return True
-        return not any(now - at < 4.0 and ok for at, ok in self._peer_state.values())
+        # Cut off alone, this node sends its users elsewhere. In an outage for all it stays:
+        # being taken out would cost seconds more when the state service is back. Contacts are
+        # a renewal apart at most, so in an outage no peer still claims one by now.
+        return not any(now - at < 1.5 and ok for at, ok in self._peer_state.values())
 
     def _checkin(self, request: Request) -> Answer:
         if request.too_large:
@@ -626,7 +661,7 @@
                 group.start_soon(self._forever, loop)
 
     async def _serve_peers(self, listener: anyio.abc.Listener[anyio.abc.SocketStream]) -> None:
-        await listener.serve(lambda stream: receive_frames(stream, self.on_message))
+        await listener.serve(lambda stream: receive_frames(stream, self.on_request))
 
     async def _forever(self, loop: Any) -> None:
         """Run a loop; one that breaks is logged and started again, and ends nothing else."""
--- a/src/dapplewick/transport/peer.py
+++ b/src/dapplewick/transport/peer.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import logging
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from typing import Any
 
 import anyio
@@ -31,6 +31,18 @@
         self._waiting[kind] = message
         self._wake.set()
 
+    async def ask(self, message: dict[str, Any], within: float) -> dict[str, Any] | None:
+        """Ask for something on a connection of its own; None if no answer comes in time."""
+        try:
+            with anyio.fail_after(within):
+                stream = await anyio.connect_tcp(self._host, self._port)
+                async with stream:
+                    await send_frame(stream, message)
+                    return await read_frame(stream, bytearray())
+        except Exception as err:
+            log.debug("event=ask_failed error=%r", err)
+            return None
+
     async def run(self) -> None:
         stream: anyio.abc.SocketStream | None = None
         while True:
@@ -86,7 +98,7 @@
 
 async def receive_frames(
     stream: anyio.abc.ByteStream,
-    handle: Callable[[dict[str, Any]], dict[str, Any] | None],
+    handle: Callable[[dict[str, Any]], Awaitable[dict[str, Any] | None]],
 ) -> None:
     """Read one peer's messages, and answer those that have an answer. A malformed message is
     logged and ends nothing else."""
@@ -94,7 +106,7 @@
     async with stream:
         while True:
             try:
-                answer = handle(await read_frame(stream, buffer))
+                answer = await handle(await read_frame(stream, buffer))
                 if answer is not None:
                     with anyio.fail_after(SEND_S):
                         await send_frame(stream, answer)
--- a/tests/standins.py
+++ b/tests/standins.py
@@ -310,6 +310,17 @@
     def post(self, kind: str, message: dict[str, Any]) -> None:
         self.waiting[kind] = cbor2.dumps(message)
 
+    async def ask(self, message: dict[str, Any], within: float) -> dict[str, Any] | None:
+        node = self.world.nodes.get(self.target)
+        with anyio.move_on_after(within):
+            if node is None or {self.sender, self.target} & self.world.cut_peers:
+                await anyio.sleep(within)
+                return None
+            await anyio.sleep(0.005)
+            answer = await node.on_request(cbor2.loads(cbor2.dumps(message)))
+            return cbor2.loads(cbor2.dumps(answer))
+        return None
+
     async def run(self) -> None:
         while True:
             await anyio.sleep(0.02 + self.world.random.random() * 0.03)
@@ -661,8 +672,10 @@
             return
         self.accepted.add(job_id)
         begun = now()
+        asked = False
         while True:
             if cancel_after is not None and now() - begun > cancel_after:
+                asked = True
                 status, said = await self.ask("POST", f"/v2/runs/{job_id}/abort")
                 if status == 200:
                     self._told(job_id, said["stage"], True)
@@ -671,7 +684,7 @@
             if status == 404:
                 self.broken.append(f"forgotten {job_id}")
             if status == 200:
-                self._told(job_id, said["stage"], cancel_after is None)
+                self._told(job_id, said["stage"], asked)
             await anyio.sleep(3.0)
 
     def _told(self, job_id: str, stage: str, may_be_cancelled: bool) -> None:
--- a/tests/test_days.py
+++ b/tests/test_days.py
@@ -2,11 +2,13 @@
 
 from __future__ import annotations
 
+import json
 from collections.abc import Awaitable, Callable
 
 import anyio
 import pytest
 
+from dapplewick.transport.http import Request
 from standins import World, now, run_day
 
 Fault = Callable[[World], Awaitable[None]]
@@ -184,3 +186,33 @@
 
     run_day(main)
     assert 3600 <= seen[0] < 3601
+
+
+def test_users_of_a_node_that_the_state_service_refuses_are_served_through_a_peer() -> None:
+    world = World(6)
+    answers: list[tuple[int, str]] = []
+
+    async def script() -> None:
+        await anyio.sleep(5)
+        world.modes[("n0", "state")] = "refused"
+        await anyio.sleep(1)
+        body = world.job(name_id="run-000001", pieces=1) | {"crew": "blue"}
+        world.jobs["run-000001"] = body
+        raw = json.dumps({k: v for k, v in body.items() if k != "true_s"}).encode()
+        node = world.nodes["n0"]
+        for method, path, data in [
+            ("POST", "/v2/runs", raw),
+            ("POST", "/v2/runs", raw),
+            ("GET", "/v2/runs/run-000001", b""),
+            ("GET", "/v2/runs/run-000002", b""),
+            ("POST", "/v2/runs/run-000001/abort", b""),
+        ]:
+            answer = await node.handle(Request(method, path, data, False))
+            answers.append((answer.status, json.loads(answer.body).get("stage", "")))
+
+    async def main() -> None:
+        await world.play(8.0, script)
+
+    run_day(main)
+    assert [status for status, _ in answers] == [201, 200, 200, 404, 200]
+    assert answers[-1][1] == "withdrawn"
