Work that can still be in time goes before late work

Cause: with more work than machines, the earliest deadline first made the most overdue jobs come first and all late. Ruled out: too few machines (all are rented).

--- a/src/dapplewick/core/leader.py
+++ b/src/dapplewick/core/leader.py
@@ -423,16 +423,26 @@
 
     # Singles
 
-    def _due(self, job: JobRecord) -> Seconds:
-        """When the job should be complete, as far as deadlines and aims say."""
+    def _due(self, job: JobRecord, wall: Seconds) -> tuple[int, Seconds]:
+        """When the job should be complete: the first of its aims that it can still reach, and
+        how many it has missed. Late work goes behind work that is still in time, or under
+        load the most overdue would make everything late."""
         spec = job.spec
-        due = float("inf")
-        if spec.deadline is not None:
-            due = job.at + spec.deadline
+        aims = [] if spec.deadline is None else [spec.deadline]
         for aim in self.settings.objectives:
-            if aim.class_ == spec.bundle and aim.within_s is not None and aim.kind == "finished":
-                due = min(due, job.at + aim.within_s)
-        return due
+            if aim.class_ != spec.bundle:
+                continue
+            if aim.kind == "deadline" and spec.deadline is not None:
+                aims.append(spec.deadline * aim.times)
+            elif aim.kind == "finished" and aim.within_s is not None:
+                aims.append(aim.within_s)
+        earliest = wall + self.estimates.run_time(spec)
+        missed = 0
+        for within in sorted(set(aims)):
+            if job.at + within >= earliest:
+                return missed, job.at + within
+            missed += 1
+        return missed, float("inf")
 
     def _within_guarantee(self, jobs: list[tuple[JobId, JobRecord]]) -> set[JobId]:
         """Jobs that fit into their team's guarantee with its earlier unfinished ones."""
@@ -468,7 +478,7 @@
                 -o[1].spec.rank,
                 o[0] not in within,
                 -self.tuning.class_weights.get(o[1].spec.bundle, 1.0),
-                self._due(o[1]),
+                self._due(o[1], wall),
                 o[1].at,
                 o[0],
             )
