A part whose owner hears none of its machines changes hands

Cause: a controller that lost its workers alone kept its part, and after the workers' lease all of its machines were deleted as silent. Ruled out: longer patience with silent machines, since their tasks are dead after the lease anyway.

--- a/src/dapplewick/coordination/parts.py
+++ b/src/dapplewick/coordination/parts.py
@@ -5,6 +5,7 @@
 from dapplewick.storage.records import Mirror, PartRecord
 from dapplewick.types import NodeName, Seconds, Zone
 
+DEAF_PAUSE_S = 20.0  # a part changes hands for silent workers at most this often
 STEADY_S = 20.0  # a controller that came back gets a part again after this time
 
 
@@ -16,9 +17,11 @@
         self.zones = [Zone(z) for z in zones]
         self.me = me
         self._uneven_since: Seconds | None = None
+        self._moved_at: dict[Zone, Seconds] = {}
 
-    def changes(self, now: Seconds) -> dict[Zone, PartRecord]:
-        """The parts that get a new owner now."""
+    def changes(self, now: Seconds, deaf: set[Zone]) -> dict[Zone, PartRecord]:
+        """The parts that get a new owner now. `deaf` are those whose owner hears none of its
+        machines: it may have lost the way to them alone, and another may hear them."""
         nodes = self.mirror.nodes
         load: dict[NodeName, int] = dict.fromkeys(nodes, 0)
         orphans: list[Zone] = []
@@ -39,9 +42,21 @@
             load[node_name] += 1
             out[zone] = PartRecord(owner=node_name, boot=nodes[node_name].boot)
         if not out:
-            out = self._even_out(now, load)
+            out = self._move_deaf(now, load, deaf) or self._even_out(now, load)
         return out
 
+    def _move_deaf(
+        self, now: Seconds, load: dict[NodeName, int], deaf: set[Zone]
+    ) -> dict[Zone, PartRecord]:
+        for zone in sorted(deaf & self.mirror.parts.keys()):
+            owner = NodeName(self.mirror.parts[zone].owner)
+            others = {n: count for n, count in load.items() if n != owner}
+            if others and now - self._moved_at.get(zone, -1e9) >= DEAF_PAUSE_S:
+                self._moved_at[zone] = now
+                name = min(others, key=lambda n: self._key(n, zone, others))
+                return {zone: PartRecord(owner=name, boot=self.mirror.nodes[name].boot)}
+        return {}
+
     def _key(self, node: NodeName, zone: Zone, load: dict[NodeName, int]) -> tuple[object, ...]:
         """The least loaded, preferably not the leader, preferably in the zone itself."""
         return (load[node], node == self.me, self.mirror.nodes[node].zone != zone, node)
--- a/src/dapplewick/core/leader.py
+++ b/src/dapplewick/core/leader.py
@@ -54,6 +54,8 @@
 STATUS_S = 6.0  # a part silent for longer gets no new work
 PROGRESS_S = 1.0  # done tasks of an unfinished job are stored at most this often
 STARVED_S = 60.0  # a gang that waited this long holds whatever it can
+DEAF_S = 6.0  # an owner that heard nothing for this long may be cut off from its workers
+DEAF_LEAST = 2  # of this many machines at least: one alone may be silent itself
 QUEUE_LEAST = 2
 LOAD_LOG_S = 10.0
 LONG_HOLD_S = 10.0  # gangs that hold slots for longer want more machines
@@ -137,6 +139,26 @@
         self.types = types
         self.fleet.catalog(types)
 
+    def deaf_parts(self) -> set[Zone]:
+        """Parts whose owner has not heard any of its machines for a while, though they are up.
+
+        Deleting them all as silent would cost a part its work for one node's broken network.
+        """
+        deaf = set()
+        for zone, status in self.status.items():
+            if status.body["token"] != self.mirror.version(PARTS + zone):
+                continue
+            silent = [
+                body["silent"]
+                for machine_id, body in status.body["machines"].items()
+                if (record := self.mirror.machines.get(machine_id)) is not None
+                and record.up
+                and not record.doomed
+            ]
+            if len(silent) >= DEAF_LEAST and min(silent) > DEAF_S:
+                deaf.add(zone)
+        return deaf
+
     # Drafts of job records
 
     def _edit(self, job_id: JobId, rank: int) -> JobRecord:
--- a/src/dapplewick/node.py
+++ b/src/dapplewick/node.py
@@ -341,7 +341,7 @@
             self.state.writes.rate = self._many_writes
             log.info("event=leader_won node=%s epoch=%d", self.me, epoch)
         self.leader.epoch = epoch
-        for zone, part in self.assigner.changes(now).items():
+        for zone, part in self.assigner.changes(now, self.leader.deaf_parts()).items():
             key = PARTS + zone
             value = {"owner": part.owner, "boot": part.boot}
             await self._write([Change(key, value, self.mirror.version(key), 0)])
--- a/tests/test_days.py
+++ b/tests/test_days.py
@@ -216,3 +216,35 @@
     run_day(main)
     assert [status for status, _ in answers] == [201, 200, 200, 404, 200]
     assert answers[-1][1] == "withdrawn"
+
+
+def test_a_part_whose_owner_hears_no_worker_changes_hands() -> None:
+    """Its machines were all deleted as silent, for one controller's broken network."""
+    world = World(7)
+    seen: dict[str, object] = {}
+
+    async def script() -> None:
+        await anyio.sleep(3)
+        for n in range(3):
+            body = world.job(name_id=f"run-{n:06d}", pieces=12, true_s=60.0, cpus=4.0, crew="red")
+            world.group.start_soon(world.user, body["name_id"], body, None)
+        await anyio.sleep(27)
+        node = world.nodes["n0"]
+        heard = {z: sum(w.zone == z for w in world.workers.values()) for z in node.mirror.parts}
+        zone = max(heard, key=lambda z: heard[z])
+        owner = node.mirror.parts[zone].owner
+        seen["before"] = (heard[zone] >= 2, owner)
+        machines = {w.name for w in world.workers.values() if w.zone == zone}
+        world.cut_workers.add(owner)
+        await anyio.sleep(25)
+        seen["after"] = world.nodes["n0"].mirror.parts[zone].owner
+        seen["kept"] = len(machines & world.workers.keys()) / len(machines)
+
+    async def main() -> None:
+        await world.play(60.0, script)
+
+    run_day(main)
+    assert world.broken == []
+    assert seen["before"][0]  # type: ignore[index]
+    assert seen["after"] != seen["before"][1]  # type: ignore[index]
+    assert seen["kept"] == 1.0
