Machines on which tasks take much longer than their job's others get no more work

Cause: a machine that runs at half its speed was kept, and arrays and gangs waited for it. The run times of eight tasks are compared with those of the same jobs elsewhere; a slow machine takes nothing new and is returned when idle.

--- a/src/dapplewick/core/part.py
+++ b/src/dapplewick/core/part.py
@@ -40,6 +40,8 @@
 FRESH_S = 6.0  # a machine silent for longer takes no new work
 GRACE_S = 5.0  # over a task's own saving time, when it is stopped in order
 RETRY_S = 2.0  # first pause after a failure, doubled with each further one
+SLOW_SAMPLES = 8  # run times that are compared before a machine is called slow
+SLOW_BY = 0.55  # mean logarithm of run time over expected from which it is
 FAULTY = 4  # failures in a row, of different jobs, that make a machine suspect
 
 WAITING, ASSIGNED, ON, UNSURE, RETURNED, FINISHED = range(6)
@@ -102,7 +104,13 @@
         self.images: dict[str, None] = {}
         self.idle_since = now
         self.failures: dict[JobId, Seconds] = {}
-        self.speed: list[float] = []
+        self.lateness: deque[float] = deque(maxlen=SLOW_SAMPLES)
+
+    @property
+    def slow(self) -> bool:
+        """Whether tasks take much longer here than elsewhere, one with another."""
+        late = self.lateness
+        return len(late) == SLOW_SAMPLES and sum(late) / SLOW_SAMPLES > SLOW_BY
 
     def slot_of(self, task: TaskRef) -> Slot | None:
         for slot in self.slots:
@@ -158,6 +166,7 @@
         self.later: list[TaskRef] = []
         self.done_gangs: dict[JobId, int] = {}
         self.strangers: dict[MachineId, Report] = {}
+        self._pace: dict[JobId, tuple[float, int]] = {}
         self.dirty = True
         self.demand = AcceleratorDemand(mirror)
         self.gang_demand = GangDemand(mirror, (tuning or Tuning()).spare_slots)
@@ -337,6 +346,7 @@
             and machine.notice is None
             and now - machine.last < FRESH_S
             and not self.faulty(now, machine)
+            and not machine.slow
         )
 
     def faulty(self, now: Seconds, machine: Machine) -> bool:
@@ -527,7 +537,20 @@
         spec = self._spec(task)
         if spec is None or live.running_at is None or (single is not None and single.fails):
             return
-        self.estimates.learn(spec.bundle, spec.estimate, now - live.running_at)
+        ran = max(0.5, now - live.running_at)
+        self.estimates.learn(spec.bundle, spec.estimate, ran)
+        if single is None or spec.estimate <= 0.0:
+            return
+        # Compared with the other tasks of the same job, whose owner's estimate is as wrong.
+        ratio = math.log(ran / spec.estimate)
+        mean, count = self._pace.get(task.job, (0.0, 0))
+        if count >= 2:
+            machine.lateness.append(max(-1.5, min(1.5, ratio - mean)))
+            if machine.slow:
+                log.info("event=machine_slow machine=%s", machine.id)
+        self._pace[task.job] = (mean + (ratio - mean) / (count + 1), count + 1)
+        while len(self._pace) > 500:
+            del self._pace[next(iter(self._pace))]
 
     def _remove_live(self, machine: Machine, task: TaskRef) -> None:
         machine.live.pop(task, None)
@@ -994,7 +1017,7 @@
             "idle": round(now - machine.idle_since, 1)
             if not machine.live and not machine.slots
             else 0.0,
-            "leaving": machine.notice is not None,
+            "leaving": machine.notice is not None or machine.slow,
             "faulty": self.faulty(now, machine),
             "wanted_gone": self._cancelled_there(machine),
         }
