--- a/src/dapplewick/core/part.py
+++ b/src/dapplewick/core/part.py
@@ -9,6 +9,7 @@
 import logging
 import math
 import random
+import statistics
 from collections import deque
 from collections.abc import Iterator
 from typing import Any
@@ -40,8 +41,9 @@
 FRESH_S = 6.0  # a machine silent for longer takes no new work
 GRACE_S = 5.0  # over a task's own saving time, when it is stopped in order
 RETRY_S = 2.0  # first pause after a failure, doubled with each further one
-SLOW_SAMPLES = 8  # run times that are compared before a machine is called slow
-SLOW_BY = 0.55  # mean logarithm of run time over expected from which it is
+SLOW_SAMPLES = 12  # run times that are compared before a machine is called slow
+SLOW_BY = 0.6  # above the other machines' mean logarithm of run time over expected
+SLOW_LEAST = 3  # machines to compare with
 FAULTY = 4  # failures in a row, of different jobs, that make a machine suspect
 
 WAITING, ASSIGNED, ON, UNSURE, RETURNED, FINISHED = range(6)
@@ -105,12 +107,7 @@
         self.idle_since = now
         self.failures: dict[JobId, Seconds] = {}
         self.lateness: deque[float] = deque(maxlen=SLOW_SAMPLES)
-
-    @property
-    def slow(self) -> bool:
-        """Whether tasks take much longer here than elsewhere, one with another."""
-        late = self.lateness
-        return len(late) == SLOW_SAMPLES and sum(late) / SLOW_SAMPLES > SLOW_BY
+        self.slow = False  # tasks take much longer here than elsewhere
 
     def slot_of(self, task: TaskRef) -> Slot | None:
         for slot in self.slots:
@@ -546,12 +543,29 @@
         mean, count = self._pace.get(task.job, (0.0, 0))
         if count >= 2:
             machine.lateness.append(max(-1.5, min(1.5, ratio - mean)))
-            if machine.slow:
-                log.info("event=machine_slow machine=%s", machine.id)
+            self._compare_speed()
         self._pace[task.job] = (mean + (ratio - mean) / (count + 1), count + 1)
         while len(self._pace) > 500:
             del self._pace[next(iter(self._pace))]
 
+    def _compare_speed(self) -> None:
+        """Tasks that end first are the short ones, so later ones look late on any machine:
+        a machine is slow only beside the others, and not for good."""
+        means = {
+            m.id: sum(m.lateness) / SLOW_SAMPLES
+            for m in self.machines.values()
+            if len(m.lateness) == SLOW_SAMPLES
+        }
+        if len(means) <= SLOW_LEAST:
+            return
+        middle = statistics.median(means.values())
+        for machine_id, mean in means.items():
+            machine = self.machines[machine_id]
+            slow = mean > middle + SLOW_BY
+            if slow and not machine.slow:
+                log.info("event=machine_slow machine=%s", machine_id)
+            machine.slow = slow
+
     def _remove_live(self, machine: Machine, task: TaskRef) -> None:
         machine.live.pop(task, None)
         self._leave_slot(machine, task)
