One block of settings for the tests; changed machine records are copies; dead code removed

The settings' deployment block stood in two test files, a machine's record was spelled out field by field in three places, and JobRecord.holder and wall_offset had no caller. Same behaviour.

--- a/src/dapplewick/core/leader.py
+++ b/src/dapplewick/core/leader.py
@@ -11,6 +11,8 @@
 from collections.abc import Iterable
 from typing import Any, NamedTuple
 
+import msgspec
+
 from dapplewick.config import Settings
 from dapplewick.core.demand import AcceleratorDemand, GangDemand
 from dapplewick.core.estimates import Estimates
@@ -104,7 +106,6 @@
         self.listed: dict[MachineId, Listed] = {}
         self._unknown_since: dict[MachineId, Seconds] = {}
         self.types: list[MachineType] = []
-        self.wall_offset = 0.0
         self._counter = 0
         self._draft: dict[JobId, tuple[JobRecord, int]] = {}
         self._stored_at: dict[JobId, Seconds] = {}
@@ -625,15 +626,10 @@
             why = self._why_go(now, machine_id, record, body)
             if why:
                 log.info("event=machine_doomed machine=%s reason=%s", machine_id, why)
-                gone = MachineRecord(
-                    type=record.type, zone=record.zone, spot=record.spot, at=record.at,
-                    up=record.up, doomed=True,
-                )  # fmt: skip
+                gone = msgspec.structs.replace(record, doomed=True)
                 changes.append(self._machine_change(machine_id, gone, 0))
             elif body is not None and body["heard"] and not record.up:
-                up = MachineRecord(
-                    type=record.type, zone=record.zone, spot=record.spot, at=record.at, up=True
-                )
+                up = msgspec.structs.replace(record, up=True)
                 changes.append(self._machine_change(machine_id, up, 0))
         # Lists lag: a machine that is gone may still be listed for twice the lag.
         patience = 2.5 * self.settings.cloud.list_lag_s
@@ -800,10 +796,7 @@
                 if slots and spare < slots:
                     continue
                 spare -= slots
-                gone = MachineRecord(
-                    type=record.type, zone=record.zone, spot=record.spot, at=record.at,
-                    up=True, doomed=True,
-                )  # fmt: skip
+                gone = msgspec.structs.replace(record, doomed=True)
                 changes.append(self._machine_change(machine_id, gone, 2))
                 log.info("event=machine_doomed machine=%s reason=idle", machine_id)
         return changes
--- a/src/dapplewick/storage/records.py
+++ b/src/dapplewick/storage/records.py
@@ -10,7 +10,7 @@
 
 from dapplewick.protocol.wire import JobSpec, MachineType, parse_types
 from dapplewick.storage.ranges import pack, unpack
-from dapplewick.types import JobId, MachineId, NodeName, Revision, TaskIndex, Zone
+from dapplewick.types import JobId, MachineId, NodeName, Revision, Zone
 
 log = logging.getLogger("dapplewick.records")
 
@@ -94,13 +94,6 @@
     def granted(self, zone: str) -> set[int]:
         return self.grants.get(zone, set())
 
-    def holder(self, index: TaskIndex) -> str | None:
-        """The zone that this task is granted to."""
-        for zone, tasks in self.grants.items():
-            if index in tasks:
-                return zone
-        return None
-
 
 class MachineRecord(msgspec.Struct, omit_defaults=True):
     """A machine. `up`: its worker was heard, so launches there are allowed from now on.
--- a/tests/standins.py
+++ b/tests/standins.py
@@ -40,6 +40,20 @@
 ]
 
 
+def deployment(count: int) -> dict[str, Any]:
+    """The deployment's part of the settings, the same for every controller."""
+    return {
+        "count": count,
+        "zones": ZONES,
+        "teams": TEAMS,
+        "objectives": [],
+        "workers": WORKERS,
+        "state": {"rps": 200.0, "write_rps": 80.0, "value_kb": 16.0, "txn_ops": 12},
+        "cloud": {"rps": 8.0, "list_lag_s": 4.0},
+        "time_bound_ms": 50.0,
+    }
+
+
 def settings(name: str, count: int = 3) -> config.Settings:
     nodes = [f"n{i}" for i in range(count)]
     value = {
@@ -53,16 +67,7 @@
             if n != name
         ],
         "outside": {"cloud": "127.0.0.1:2", "state": "127.0.0.1:3"},
-        "deployment": {
-            "count": count,
-            "zones": ZONES,
-            "teams": TEAMS,
-            "objectives": [],
-            "workers": WORKERS,
-            "state": {"rps": 200.0, "write_rps": 80.0, "value_kb": 16.0, "txn_ops": 12},
-            "cloud": {"rps": 8.0, "list_lag_s": 4.0},
-            "time_bound_ms": 50.0,
-        },
+        "deployment": deployment(count),
     }
     return config.parse(json.dumps(value).encode())
 
--- a/tests/test_sockets.py
+++ b/tests/test_sockets.py
@@ -17,7 +17,7 @@
 import pytest
 
 from dapplewick.transport.http import Answer, HttpClient, HttpError, Request, serve_connection
-from standins import TEAMS, WORKERS, ZONES, World, now
+from standins import ZONES, World, deployment, now
 
 ROOT = Path(__file__).resolve().parent.parent
 
@@ -58,16 +58,7 @@
                     "cloud": f"127.0.0.1:{self.cloud_port}",
                     "state": f"127.0.0.1:{self.state_port}",
                 },
-                "deployment": {
-                    "count": count,
-                    "zones": ZONES,
-                    "teams": TEAMS,
-                    "objectives": [],
-                    "workers": WORKERS,
-                    "state": {"rps": 200.0, "write_rps": 80.0, "value_kb": 16.0, "txn_ops": 12},
-                    "cloud": {"rps": 8.0, "list_lag_s": 4.0},
-                    "time_bound_ms": 50.0,
-                },
+                "deployment": deployment(count),
                 "a_new_field": [1, 2, 3],
             }
             self.files[name] = folder / f"{name}.json"
