--- a/src/dapplewick/coordination/parts.py
+++ b/src/dapplewick/coordination/parts.py
@@ -7,6 +7,8 @@
 
 DEAF_PAUSE_S = 20.0  # a part changes hands for silent workers at most this often
 STEADY_S = 20.0  # a controller that came back gets a part again after this time
+EMPTY_STEADY_S = 1.0  # and sooner one without machines, which loses nothing by a new owner
+LEADING = 1  # leading is as much work as a part
 
 
 class PartAssigner:
@@ -24,6 +26,8 @@
         machines: it may have lost the way to them alone, and another may hear them."""
         nodes = self.mirror.nodes
         load: dict[NodeName, int] = dict.fromkeys(nodes, 0)
+        if self.me in load:
+            load[self.me] = LEADING
         orphans: list[Zone] = []
         for zone in self.zones:
             part = self.mirror.parts.get(zone)
@@ -67,11 +71,14 @@
             return {}
         if self._uneven_since is None:
             self._uneven_since = now
-        if now - self._uneven_since < STEADY_S:
-            return {}
-        self._uneven_since = None
         most = max(load, key=lambda n: (load[n], n))
         owned = [z for z in self.zones if self.mirror.parts[z].owner == most]
+        if not owned:
+            return {}
         zone = owned[-1]
+        full = any(m.up and m.zone == zone for m in self.mirror.machines.values())
+        if now - self._uneven_since < (STEADY_S if full else EMPTY_STEADY_S):
+            return {}
+        self._uneven_since = None
         least = min(load, key=lambda n: self._key(n, zone, load))
         return {zone: PartRecord(owner=least, boot=self.mirror.nodes[least].boot)}
--- a/src/dapplewick/core/fleet.py
+++ b/src/dapplewick/core/fleet.py
@@ -7,7 +7,7 @@
 import random
 from typing import NamedTuple
 
-from dapplewick.core.model import View, room_for, take_times
+from dapplewick.core.model import PartRooms, View, shape_of, take_times
 from dapplewick.protocol.wire import JobSpec, MachineType
 from dapplewick.storage.records import BookingRecord, Mirror
 from dapplewick.tuning import Tuning
@@ -20,7 +20,8 @@
 BOOT_LEAST_S = 60.0
 OVERDUE_TIMES = 1.7  # a machine that boots for longer is no longer counted on
 IDLE_TIMES = 5.0  # a cheap machine idles at most this much longer than a middling one
-MOST_AT_ONCE = 6  # machines rented in one pass
+MOST_AT_ONCE = 60  # machines asked for in one pass
+MOST_IN_ONE = 50  # and in one request, as the cloud allows
 
 
 class Need(NamedTuple):
@@ -79,7 +80,13 @@
             MachineId(name), TypeName(kind.name), Zone(zone), spot, kind.size, kind.size, [], 0
         )
 
-    def _offers(self, now: Seconds, spec: JobSpec, zones: list[str]) -> list[Offer]:
+    def _offers(
+        self,
+        now: Seconds,
+        spec: JobSpec,
+        zones: list[str],
+        asked: dict[tuple[str, str, bool], int],
+    ) -> list[Offer]:
         offers = []
         # One request at a time for each kind of machine: what is asked of a cloud that has
         # nothing left would pile up otherwise, in front of what it has.
@@ -94,14 +101,16 @@
                     continue
                 for spot in (True, False) if spec.spot else (False,):
                     key = (kind.name, zone, spot)
-                    asked = self.refused.get(key)
-                    if key not in pending and (asked is None or now - asked > REFUSED_S):
+                    refused = self.refused.get(key)
+                    if key not in pending and (refused is None or now - refused > REFUSED_S):
+                        if asked.get(key, 0) >= MOST_IN_ONE:
+                            continue
                         price = kind.spot_price if spot else kind.price
                         offers.append(Offer(kind, zone, spot, price))
         return offers
 
     def rent(
-        self, now: Seconds, wall: Seconds, needs: list[Need], rooms: list[View]
+        self, now: Seconds, wall: Seconds, needs: list[Need], rooms: list[PartRooms]
     ) -> tuple[list[BookingRecord], list[Need]]:
         """What to ask for, beyond the rooms that there are and what is already coming; and
         the needs for which nothing is left to be asked.
@@ -109,20 +118,26 @@
         A need that finds room in machines that are up rents nothing, whatever else keeps it
         from starting: otherwise it would rent again in every pass.
         """
-        pool = rooms + self.coming(wall)
+        pool = {room.zone: room for room in rooms}
+        for zone in self.zones:
+            pool.setdefault(Zone(zone), PartRooms(Zone(zone), []))
+        for view in self.coming(wall):
+            if view.zone in pool:
+                pool[view.zone].add(view)
         asked: dict[tuple[str, str, bool], int] = {}
         unmet: list[Need] = []
         for need in needs:
             spec = need.spec
             if need.together and spec.one_zone:
-                zones = sorted(self.zones, key=lambda z: -room_for(pool, spec, z))
+                shape = shape_of(spec)
+                zones = sorted(self.zones, key=lambda z: -pool[Zone(z)].idle(spec, shape))
                 for zone in zones:
                     if self._provide(now, spec, need.tasks, need.tasks, [zone], pool, asked):
                         break
                 else:
                     unmet.append(need)
             else:
-                cap = spec.zone_cap if need.together else need.tasks
+                cap = spec.zone_cap if need.together and spec.spread else need.tasks
                 if not self._provide(now, spec, need.tasks, cap, self.zones, pool, asked):
                     unmet.append(need)
         bookings = [
@@ -138,23 +153,30 @@
         count: int,
         cap: int,
         zones: list[str],
-        pool: list[View],
+        pool: dict[Zone, PartRooms],
         asked: dict[tuple[str, str, bool], int],
     ) -> bool:
         """Take room for `count` tasks out of the pool, at most `cap` in a zone, and ask for
         what is missing; says whether something was found for all of them."""
         left = dict.fromkeys(zones, cap)
-        for view in pool:
-            # Singles that need no accelerators don't count on machines that are rented for
-            # theirs: room for them is to be had for much less.
-            if spec.gpus == 0 and not spec.gang and view.capacity.gpus > 0:
-                continue
-            if view.zone in left and view.allows(spec):
-                fit = min(count, left[view.zone], view.times(spec))
+        for zone in zones:
+            part = pool[Zone(zone)]
+            taken = False
+            for view in part.candidates(spec):
+                if count <= 0 or left[zone] <= 0:
+                    break
+                # Singles that need no accelerators don't count on machines that are rented
+                # for theirs: room for them is to be had for much less.
+                if spec.gpus == 0 and not spec.gang and view.capacity.gpus > 0:
+                    continue
+                fit = min(count, left[zone], view.times(spec))
                 if fit > 0:
                     take_times(view, spec, fit)
-                    left[view.zone] -= fit
+                    left[zone] -= fit
                     count -= fit
+                    taken = True
+            if taken:
+                part.changed()
         while count > 0 and sum(asked.values()) < MOST_AT_ONCE:
             open_zones = [z for z in zones if left[z] > 0]
             offer = self._best(now, spec, count, asked, open_zones)
@@ -162,13 +184,13 @@
                 return False
             key = (offer.type.name, offer.zone, offer.spot)
             asked[key] = asked.get(key, 0) + 1
-            view = self._empty(f"new#{len(pool)}", offer.type, offer.zone, offer.spot)
+            view = self._empty(f"new#{asked[key]}", offer.type, offer.zone, offer.spot)
             fit = min(count, left[offer.zone], view.times(spec))
             take_times(view, spec, fit)
             left[offer.zone] -= fit
             count -= fit
-            pool.append(view)
-        return count == 0
+            pool[Zone(offer.zone)].add(view)
+        return count <= 0
 
     def _hourly(self, type_: str, spot: bool) -> float:
         kind = self.prices.get(type_) or self.mirror.types.get(type_)
@@ -195,7 +217,7 @@
     ) -> Offer | None:
         """The offer with the lowest price for each task it would run now."""
         best: tuple[float, float, Offer] | None = None
-        for offer in self._offers(now, spec, zones):
+        for offer in self._offers(now, spec, zones, asked):
             slots = min(count, spec.size.times_in(offer.type.size))
             # Machines of one kind and zone are few: ask for some elsewhere too.
             crowd = asked.get((offer.type.name, offer.zone, offer.spot), 0)
--- a/src/dapplewick/core/leader.py
+++ b/src/dapplewick/core/leader.py
@@ -9,29 +9,20 @@
 import logging
 import math
 from collections.abc import Iterable
-from typing import Any, NamedTuple
-
-import msgspec
+from typing import Any
 
 from dapplewick.config import Settings
 from dapplewick.core.demand import AcceleratorDemand, GangDemand
 from dapplewick.core.estimates import Estimates
 from dapplewick.core.fleet import Fleet, Need, wanted_slots
-from dapplewick.core.model import (
-    View,
-    fit_all,
-    fit_held,
-    keep_for_gangs,
-    room_for,
-    take_most,
-    view_of,
-)
-from dapplewick.protocol.wire import JobSpec, Listed, MachineList, MachineType, types_value
+from dapplewick.core.machines import Change, MachineBook
+from dapplewick.core.model import GANG_RANK, PartRooms, View, shape_of, view_of
+from dapplewick.core.placing import LONG_HOLD_S, place_gang
+from dapplewick.protocol.wire import JobSpec, MachineList, MachineType, types_value
 from dapplewick.storage.records import (
     BOOKINGS,
     DONE,
     JOBS,
-    MACHINES,
     PARTS,
     TYPES,
     GangPlace,
@@ -55,28 +46,65 @@
 
 STATUS_S = 6.0  # a part silent for longer gets no new work
 PROGRESS_S = 1.0  # done tasks of an unfinished job are stored at most this often
-STARVED_S = 60.0  # a gang that waited this long holds whatever it can
 DEAF_S = 6.0  # an owner that heard nothing for this long may be cut off from its workers
 DEAF_LEAST = 2  # of this many machines at least: one alone may be silent itself
 QUEUE_LEAST = 2
 LOAD_LOG_S = 10.0
-LONG_HOLD_S = 10.0  # gangs that hold slots for longer want more machines
 QUEUE_SHARE = 0.15  # singles queued in a part, beyond what fits, by running ones
-
-
-class Change(NamedTuple):
-    """A record to write (or remove, without a value) if it still has this version."""
-
-    key: str
-    value: Any
-    version: int
-    rank: int  # lower ones are written first
-
-
-class PartStatus(NamedTuple):
-    at: Seconds
-    seen: Revision
-    body: dict[str, Any]
+HOLD_SHARE = 0.25  # of its run time, or of its wait so far, a gang may hold idle slots
+FLEET_S = 1.0  # renting and returning is thought about this often
+
+
+class PartView:
+    """What a part has told, put together from its statuses."""
+
+    def __init__(self, zone: Zone, token: int) -> None:
+        self.zone = zone
+        self.token = token
+        self.number = 0  # of the newest status
+        self.at = -1e9
+        self.clock = 0.0  # our clock less the part's
+        self.seen = Revision(0)
+        self.machines: dict[MachineId, dict[str, Any]] = {}
+        self.views: dict[MachineId, View] = {}
+        self.jobs: dict[JobId, dict[str, Any]] = {}
+        self.gangs: dict[JobId, tuple[int, str, float]] = {}
+        self.fresh: dict[str, Any] = {}  # what each status tells in full
+
+    def apply(self, now: Seconds, body: dict[str, Any]) -> bool:
+        """Take over a status; False if something before it is missing here."""
+        number, base = int(body["number"]), int(body["base"])
+        if base > self.number:
+            return False
+        if number <= self.number:
+            return True
+        if base == 0:
+            self.machines.clear()
+            self.views.clear()
+            self.jobs.clear()
+            self.gangs.clear()
+        self.number = number
+        self.at = now
+        self.clock = now - float(body["at"])
+        self.seen = Revision(body["seen"])
+        for machine_id, machine in body["machines"].items():
+            self.views.pop(machine_id, None)
+            if machine is None:
+                self.machines.pop(machine_id, None)
+            else:
+                self.machines[machine_id] = machine
+        _merge(self.jobs, body["jobs"])
+        _merge(self.gangs, body["gangs"])
+        self.fresh = body
+        return True
+
+
+def _merge(into: dict[Any, Any], changes: dict[Any, Any]) -> None:
+    for key, value in changes.items():
+        if value is None:
+            into.pop(key, None)
+        else:
+            into[key] = value
 
 
 class LeaderCore:
@@ -100,11 +128,11 @@
         self.demand = AcceleratorDemand(mirror)
         self.gangs = GangDemand(mirror, self.tuning.spare_slots)
         self.fleet = Fleet(mirror, settings.deployment.zones, epoch, self.tuning)
-        self.status: dict[Zone, PartStatus] = {}
+        self.book = MachineBook(
+            mirror, self.fleet, self.settings.workers.lease_s, self.settings.cloud.list_lag_s
+        )
+        self.parts: dict[Zone, PartView] = {}
         self.rented: dict[str, list[MachineId] | None] = {}
-        self.deleted: set[MachineId] = set()
-        self.listed: dict[MachineId, Listed] = {}
-        self._unknown_since: dict[MachineId, Seconds] = {}
         self.types: list[MachineType] = []
         self._counter = 0
         self._draft: dict[JobId, tuple[JobRecord, int]] = {}
@@ -112,29 +140,38 @@
         self._low: dict[JobId, int] = {}
         self._teams = {t.name: t for t in self.settings.teams}
         self._load_at = now
-        self._up_since: dict[MachineId, Seconds] = {}
+        self._fleet_at = -1e9
 
     # Inputs
 
-    def part_status(self, now: Seconds, body: dict[str, Any]) -> None:
+    def part_status(self, now: Seconds, body: dict[str, Any]) -> int:
+        """A part's status; gives the number up to which this part is known here."""
         zone = Zone(body["zone"])
-        if body["token"] != self.mirror.version(PARTS + zone):
-            return
-        self.status[zone] = PartStatus(now, Revision(body["seen"]), body)
-        self.estimates.adopt({k: (v[0], v[1]) for k, v in body["estimates"].items()})
+        token = self.mirror.version(PARTS + zone)
+        if body["token"] != token:
+            return 0
+        part = self.parts.get(zone)
+        if part is None or part.token != token:
+            part = self.parts[zone] = PartView(zone, token)
+        if part.apply(now, body):
+            self.estimates.adopt({k: (v[0], v[1]) for k, v in body["estimates"].items()})
+        return part.number
+
+    def _owned(self) -> list[PartView]:
+        """Parts whose owner has told of them."""
+        version = self.mirror.version
+        return [
+            p for zone, p in self.parts.items() if p.number > 0 and p.token == version(PARTS + zone)
+        ]
 
     def booking_answered(self, name: str, machines: list[MachineId] | None) -> None:
         self.rented[name] = machines
 
     def machines_deleted(self, machines: Iterable[MachineId]) -> None:
-        self.deleted.update(machines)
+        self.book.were_deleted(machines)
 
     def machines_listed(self, now: Seconds, listing: MachineList) -> None:
-        self.listed = {MachineId(item.machine): item for item in listing.machines}
-        known = self.mirror.machines.keys() | self.deleted
-        self._unknown_since = {
-            m: self._unknown_since.get(m, now) for m in self.listed if m not in known
-        }
+        self.book.were_listed(now, listing)
 
     def catalog(self, types: list[MachineType]) -> None:
         self.types = types
@@ -146,18 +183,14 @@
         Deleting them all as silent would cost a part its work for one node's broken network.
         """
         deaf = set()
-        for zone, status in self.status.items():
-            if status.body["token"] != self.mirror.version(PARTS + zone):
-                continue
-            silent = [
-                body["silent"]
-                for machine_id, body in status.body["machines"].items()
-                if (record := self.mirror.machines.get(machine_id)) is not None
-                and record.up
-                and not record.doomed
-            ]
-            if len(silent) >= DEAF_LEAST and min(silent) > DEAF_S:
-                deaf.add(zone)
+        for part in self._owned():
+            up = sum(
+                record.up and not record.doomed
+                for m in part.machines
+                if (record := self.mirror.machines.get(m)) is not None
+            )
+            if up >= DEAF_LEAST and part.fresh["heard_ago"] > DEAF_S:
+                deaf.add(part.zone)
         return deaf
 
     # Drafts of job records
@@ -184,39 +217,45 @@
     # The pass
 
     def plan(self, now: Seconds, wall: Seconds) -> list[Change]:
-        """What to write now."""
+        """What to write now, what matters most first."""
         self._draft.clear()
-        changes: list[Change] = []
-        self._absorb(now)
-        changes += self._machine_changes(now, wall)
+        self.book.begin()
+        self._absorb()
+        self._review_machines(now, wall)
         self.demand.update(now)
         self.gangs.update(now)
         usage = self._usage()
-        views = self._views(now)
-        self._place_gangs(now, wall, views, usage)
-        ordered = self._singles(wall, usage)
-        self._grant(now, wall, views, usage, ordered)
-        changes += self._fleet_changes(now, wall, views, ordered)
+        rooms = self._rooms(now)
+        self._place_gangs(now, wall, rooms, usage)
+        ordered = self._singles(wall)
+        self._grant(rooms, usage, ordered)
+        changes = self._fleet_changes(now, wall, rooms, ordered)
+        changes += self.book.changes()
         for job_id, (job, rank) in self._draft.items():
             if rank == 3 and now - self._stored_at.get(job_id, 0.0) < PROGRESS_S:
                 continue
-            self._stored_at[job_id] = now
             changes.append(Change(JOBS + job_id, job.dump(), job.version, rank))
         changes.sort(key=lambda c: c.rank)
         if log.isEnabledFor(logging.DEBUG) and now - self._load_at > LOAD_LOG_S:
             self._load_at = now
-            self._log_load(wall, views, ordered)
+            self._log_load(wall, rooms, ordered)
         return changes
 
+    def written(self, now: Seconds, changes: Iterable[Change]) -> None:
+        """These changes are stored."""
+        for change in changes:
+            if change.key.startswith(JOBS):
+                self._stored_at[JobId(change.key[len(JOBS) :])] = now
+
     def _log_load(
         self,
         wall: Seconds,
-        views: dict[Zone, list[View]],
+        rooms: list[PartRooms],
         ordered: list[tuple[JobId, JobRecord, int]],
     ) -> None:
         """What there is and what waits, for those who look for a cause."""
         kinds: dict[str, list[float]] = {}
-        for view in (v for part in views.values() for v in part):
+        for view in (v for part in rooms for v in part.views):
             row = kinds.setdefault(view.type + ("/spot" if view.spot else ""), [0, 0.0, 0.0])
             row[0] += 1
             row[1] += view.free.cpus
@@ -235,24 +274,26 @@
             kinds, len(self.fleet.coming(wall)), waiting, gangs, held,
         )  # fmt: skip
 
-    def _absorb(self, now: Seconds) -> None:
+    def _absorb(self) -> None:
         """Take over what the parts report of their jobs."""
-        for zone, status in self.status.items():
-            if status.body["token"] != self.mirror.version(PARTS + zone):
-                continue
-            self._absorb_singles(zone, status)
-            for job_id in status.body["clear"]:
+        for part in self._owned():
+            self._absorb_singles(part)
+            for job_id in part.fresh["clear"]:
                 old = self.mirror.jobs.get(job_id)
-                if old is not None and not old.open and zone in old.grants:
-                    self._edit(job_id, 2).grants.pop(zone, None)
+                if old is not None and not old.open and part.zone in old.grants:
+                    self._edit(job_id, 2).grants.pop(part.zone, None)
         self._absorb_gangs()
 
-    def _absorb_singles(self, zone: Zone, status: PartStatus) -> None:
-        for job_id, body in status.body["jobs"].items():
+    def _absorb_singles(self, part: PartView) -> None:
+        zone = part.zone
+        for job_id, body in part.jobs.items():
+            if not body["done"] and not body["returned"]:
+                continue
             old = self.mirror.jobs.get(job_id)
             if old is None or not old.open:
                 continue
-            done = [i for i in body["done"] if i not in old.done and i in old.granted(zone)]
+            granted = old.granted(zone)
+            done = [i for i in body["done"] if i not in old.done and i in granted]
             # What is given back counts only against the record that the part knew: a newer
             # one may have granted the same task anew.
             returned = body["returned"] if body["version"] == old.version else []
@@ -270,16 +311,17 @@
                 log.info("event=job_done job=%s", job_id)
 
     def _absorb_gangs(self) -> None:
+        owned = {p.zone: p for p in self._owned()}
         for job_id, old in list(self.mirror.each_live()):
             gang = old.gang
             if gang is None:
                 continue
             states = []
             for zone in gang.zones():
-                status = self.status.get(Zone(zone))
+                part = owned.get(Zone(zone))
                 state = "unknown"
-                if status is not None and status.seen >= old.version:
-                    attempt, said, _ = status.body["gangs"].get(job_id, (0, "unknown", 0.0))
+                if part is not None and part.seen >= old.version:
+                    attempt, said, _ = part.gangs.get(job_id, (0, "unknown", 0.0))
                     state = said if attempt == gang.attempt else "unknown"
                 states.append(state)
             if old.open and "done" in states:
@@ -328,52 +370,56 @@
             Size(size.cpus * count, size.gpus * count, size.ram * count)
         )
 
-    def _views(self, now: Seconds) -> dict[Zone, list[View]]:
+    def _rooms(self, now: Seconds) -> list[PartRooms]:
         """The parts' rooms, less what was given to them that their statuses don't show."""
-        views: dict[Zone, list[View]] = {}
-        by_id: dict[str, View] = {}
-        for zone, status in self.status.items():
-            if now - status.at > STATUS_S or status.body["token"] != self.mirror.version(
-                PARTS + zone
-            ):
+        rooms: list[PartRooms] = []
+        by_zone: dict[str, PartRooms] = {}
+        for part in self._owned():
+            if now - part.at > STATUS_S:
                 continue
-            views[zone] = []
-            for machine_id, body in status.body["machines"].items():
+            views = []
+            for machine_id, body in part.machines.items():
                 record = self.mirror.machines.get(machine_id)
-                kind = self.mirror.types.get(record.type) if record is not None else None
-                if record is None or kind is None or record.doomed or not body["usable"]:
+                if record is None or record.doomed or not body["usable"]:
                     continue
-                view = view_of(
-                    machine_id, record.type, zone, record.spot, kind.size, body, self.demand
-                )
-                views[zone].append(view)
-                by_id[machine_id] = view
+                view = part.views.get(machine_id)
+                if view is None:
+                    kind = self.mirror.types.get(record.type)
+                    if kind is None:
+                        continue
+                    view = part.views[machine_id] = view_of(
+                        machine_id, record.type, part.zone, record.spot, kind.size, body,
+                        self.demand, part.clock,
+                    )  # fmt: skip
+                view.begin(now)
+                view.kept = None
+                views.append(view)
+            room = PartRooms(part.zone, views)
+            rooms.append(room)
+            by_zone[part.zone] = room
         for job_id in self.mirror.live_jobs:
             job = self._job(job_id)
             if job.gang is not None:
-                for zone_name, machine_id in job.gang.places:
-                    said = self.status.get(Zone(zone_name))
-                    if machine_id in by_id and said is not None and said.seen < job.version:
-                        by_id[machine_id].take(job.spec.size)
+                for zone_name, machine in job.gang.places:
+                    said = self.parts.get(Zone(zone_name))
+                    if zone_name not in by_zone or said is None or said.seen >= job.version:
+                        continue
+                    taken = said.views.get(MachineId(machine))
+                    if taken is not None:
+                        by_zone[zone_name].take([taken], job.size)
             for zone_name, tasks in job.grants.items():
-                zone = Zone(zone_name)
-                if zone not in views:
+                if zone_name not in by_zone:
                     continue
-                body = self.status[zone].body["jobs"].get(job_id)
-                placed = body["placed"] if body is not None else 0
-                backlog = len(tasks) - placed
+                told = self.parts[Zone(zone_name)].jobs.get(job_id)
+                backlog = len(tasks) - (told["placed"] if told is not None else 0)
                 if backlog > 0:
-                    take_most(views[zone], job.spec, backlog)
-        return views
+                    by_zone[zone_name].take_most(job.spec, backlog)
+        return rooms
 
     # Gangs
 
     def _place_gangs(
-        self,
-        now: Seconds,
-        wall: Seconds,
-        views: dict[Zone, list[View]],
-        usage: dict[str, Size],
+        self, now: Seconds, wall: Seconds, rooms: list[PartRooms], usage: dict[str, Size]
     ) -> None:
         """The largest fitting gang first, the oldest among equals, until none fits."""
         waiting = [
@@ -382,16 +428,18 @@
             if job.spec.gang and job.open and job.gang is None
         ]
         waiting.sort(key=lambda w: (-w[1].spec.rank, -w[1].spec.tasks, w[1].at, w[0]))
+        by_zone = {room.zone: room for room in rooms}
         for job_id, job in waiting:
             spec = job.spec
             if self._within_limit(spec, usage) < spec.tasks:
                 continue
-            found = self._place_gang(spec, views, wall - job.at)
+            limit = HOLD_SHARE * max(wall - job.at, self.estimates.run_time(spec))
+            found = place_gang(spec, rooms, max(LONG_HOLD_S, limit), self.tuning.patience_s)
             if found is None:
                 continue
             chosen, preempt = found
             for view in chosen:
-                view.take(spec.size)
+                by_zone[view.zone].take([view], job.size)
             self._spend(spec, spec.tasks, usage)
             self._counter += 1
             attempt = self.epoch * PER_TOKEN + self._counter
@@ -402,48 +450,6 @@
                 job_id, attempt, ",".join(m for _, m in places), preempt,
             )  # fmt: skip
 
-    def _place_gang(
-        self, spec: JobSpec, views: dict[Zone, list[View]], waited: Seconds
-    ) -> tuple[list[View], bool] | None:
-        count = spec.tasks
-        one_part = spec.zone_cap >= count
-        best: tuple[float, list[View]] | None = None
-        if one_part:
-            for zone_views in views.values():
-                chosen = fit_all(zone_views, spec, count)
-                if chosen is not None:
-                    spare = sum(v.capacity.gpus for v in chosen) if spec.gpus == 0 else 0.0
-                    if best is None or spare < best[0]:
-                        best = (spare, chosen)
-        if best is not None:
-            return best[1], False
-        # Slots behind long work are no place to wait: rented machines come sooner, and so do
-        # slots of other gangs that end, which a hold could not use any more.
-        limit = LONG_HOLD_S if waited < STARVED_S else float("inf")
-        held: tuple[float, list[View], bool] | None = None
-        if one_part:
-            for zone_views in views.values():
-                option = fit_held(zone_views, spec, count, self.tuning.patience_s, limit)
-                if option is not None:
-                    wait = 0.0
-                    for view in option[0]:
-                        times = view.room_in(spec)
-                        if times is not None:
-                            wait = max(wait, times[1] if option[1] else times[0])
-                    if held is None or wait < held[0]:
-                        held = (wait, option[0], option[1])
-        if held is not None:
-            return held[1], held[2]
-        if not spec.one_zone:
-            spanning: list[View] = []
-            for zone_views in sorted(views.values(), key=lambda z: -room_for(z, spec)):
-                most = min(count - len(spanning), spec.zone_cap, room_for(zone_views, spec))
-                if most > 0:
-                    spanning += fit_all(zone_views, spec, most) or []
-                if len(spanning) == count:
-                    return spanning, False
-        return None
-
     # Singles
 
     def _due(self, job: JobRecord, wall: Seconds) -> tuple[int, Seconds]:
@@ -486,7 +492,7 @@
                 within.add(job_id)
         return within
 
-    def _singles(self, wall: Seconds, usage: dict[str, Size]) -> list[tuple[JobId, JobRecord, int]]:
+    def _singles(self, wall: Seconds) -> list[tuple[JobId, JobRecord, int]]:
         """Open arrays with tasks that are not granted, in the order in which they are served."""
         jobs = [(j, self._job(j)) for j in self.mirror.live_jobs]
         jobs = [(j, job) for j, job in jobs if job.open and not job.spec.gang]
@@ -526,17 +532,17 @@
 
     def _grant(
         self,
-        now: Seconds,
-        wall: Seconds,
-        views: dict[Zone, list[View]],
+        rooms: list[PartRooms],
         usage: dict[str, Size],
         ordered: list[tuple[JobId, JobRecord, int]],
     ) -> None:
         """Parts get singles by their free room, and a few more for their queues."""
-        queue_room = self._queue_room(views)
+        queue_room = self._queue_room(rooms)
         # Rooms go first to work whose image is there: a fetch keeps them from all work.
         for warm in (True, False):
             for job_id, job, left in ordered:
+                if left <= 0:
+                    continue
                 spec = job.spec
                 job = self._job(job_id)
                 granted = sum(len(tasks) for tasks in job.grants.values())
@@ -544,7 +550,7 @@
                 count = min(left, self._within_limit(spec, usage))
                 if count <= 0:
                     continue
-                shares = self._shares(spec, job, views, queue_room, count, warm)
+                shares = self._shares(spec, job, rooms, queue_room, count, warm)
                 total = sum(shares.values())
                 if not total:
                     continue
@@ -555,125 +561,74 @@
                     draft.grants[zone] = draft.granted(zone) | set(mine)
                 self._spend(spec, total, usage)
 
-    def _queue_room(self, views: dict[Zone, list[View]]) -> dict[Zone, int]:
+    def _queue_room(self, rooms: list[PartRooms]) -> dict[Zone, int]:
         room = {}
-        for zone, zone_views in views.items():
-            body = self.status[zone].body
-            running = sum(len(v.ends) for v in zone_views)
+        for part in rooms:
+            said = self.parts[part.zone].jobs
+            running = sum(rank < GANG_RANK for v in part.views for _, _, rank in v.ends)
             waiting = 0
             for job_id in self.mirror.live_jobs:
-                granted = len(self._job(job_id).granted(zone))
-                said = body["jobs"].get(job_id)
-                waiting += max(0, granted - (said["placed"] if said is not None else 0))
-            room[zone] = max(0, int(QUEUE_LEAST + QUEUE_SHARE * running) - waiting)
+                granted = self._job(job_id).grants.get(part.zone)
+                if granted:
+                    body = said.get(job_id)
+                    waiting += max(0, len(granted) - (body["placed"] if body is not None else 0))
+            room[part.zone] = max(0, int(QUEUE_LEAST + QUEUE_SHARE * running) - waiting)
         return room
 
     def _shares(
         self,
         spec: JobSpec,
         job: JobRecord,
-        views: dict[Zone, list[View]],
+        rooms: list[PartRooms],
         queue_room: dict[Zone, int],
         count: int,
         warm: bool,
     ) -> dict[Zone, int]:
-        zones = [z for z in views if any(v.allows(spec) for v in views[z])]
+        shape = shape_of(spec)
+        parts = [p for p in rooms if any(v.allows(spec) for v in p.views)]
         if spec.one_zone:
             holders = [z for z, tasks in job.grants.items() if tasks]
             if holders:
-                zones = [z for z in zones if z in holders]
-            elif zones:
-                zones = [max(zones, key=lambda z: room_for(views[z], spec))]
+                parts = [p for p in parts if p.zone in holders]
+            elif parts:
+                parts = [max(parts, key=lambda p: p.idle(spec, shape))]
         shares: dict[Zone, int] = {}
-        zones.sort(key=lambda z: -room_for(views[z], spec))
-        for zone in zones:
-            keep_for_gangs(views[zone], self.gangs, 1.0 / len(views))
-            most = min(count, spec.zone_cap - len(job.granted(zone)))
-            share = take_most(views[zone], spec, most, warm) if most > 0 else 0
-            shares[zone] = share
+        parts.sort(key=lambda p: -p.idle(spec, shape))
+        for part in parts:
+            part.keep_for_gangs(self.gangs, 1.0 / len(rooms))
+            most = min(count, spec.zone_cap - len(job.granted(part.zone)))
+            share = part.take_most(spec, most, warm)
+            shares[part.zone] = share
             count -= share
-        for zone in zones if not warm else ():
-            most = min(count, spec.zone_cap - len(job.granted(zone)) - shares[zone])
-            extra = min(most, queue_room[zone])
+        for part in parts if not warm else ():
+            most = min(count, spec.zone_cap - len(job.granted(part.zone)) - shares[part.zone])
+            extra = min(most, queue_room[part.zone])
             if extra > 0:
-                shares[zone] += extra
-                queue_room[zone] -= extra
+                shares[part.zone] += extra
+                queue_room[part.zone] -= extra
                 count -= extra
         return {zone: share for zone, share in shares.items() if share}
 
     # Machines
 
-    def _machine_changes(self, now: Seconds, wall: Seconds) -> list[Change]:
+    def _review_machines(self, now: Seconds, wall: Seconds) -> None:
         """Machines that came up, turned out unknown, or have to go."""
-        changes: list[Change] = []
-        heard: dict[str, dict[str, Any]] = {}
-        for zone, status in self.status.items():
-            if status.body["token"] != self.mirror.version(PARTS + zone):
-                continue
-            heard.update(status.body["machines"])
-            for machine_id, (type_, at_zone, spot, _) in status.body["strangers"].items():
-                if machine_id not in self.mirror.machines and machine_id not in self.deleted:
-                    record = MachineRecord(type=type_, zone=at_zone, spot=spot, at=wall)
-                    changes.append(self._machine_change(machine_id, record, 1))
-                    log.info("event=machine_adopted machine=%s", machine_id)
-        for machine_id, record in self.mirror.machines.items():
-            if record.doomed:
-                if machine_id in self.deleted:
-                    key = MACHINES + machine_id
-                    changes.append(Change(key, None, self.mirror.version(key), 0))
-                continue
-            body = heard.get(machine_id)
-            why = self._why_go(now, machine_id, record, body)
-            if why:
-                log.info("event=machine_doomed machine=%s reason=%s", machine_id, why)
-                gone = msgspec.structs.replace(record, doomed=True)
-                changes.append(self._machine_change(machine_id, gone, 0))
-            elif body is not None and body["heard"] and not record.up:
-                up = msgspec.structs.replace(record, up=True)
-                changes.append(self._machine_change(machine_id, up, 0))
-        # Lists lag: a machine that is gone may still be listed for twice the lag.
-        patience = 2.5 * self.settings.cloud.list_lag_s
-        for machine_id, since in self._unknown_since.items():
-            item = self.listed[machine_id]
-            if (
-                now - since > patience
-                and machine_id not in self.mirror.machines
-                and item.zone in self.settings.zones
-            ):
-                record = MachineRecord(type=item.type, zone=item.zone, spot=item.spot, at=wall)
-                changes.append(self._machine_change(machine_id, record, 2))
-                log.info("event=machine_adopted machine=%s reason=listed", machine_id)
-        return changes
-
-    def _machine_change(self, machine_id: str, record: MachineRecord, rank: int) -> Change:
-        key = MACHINES + machine_id
-        value = {k: getattr(record, k) for k in record.__struct_fields__}
-        return Change(key, value, self.mirror.version(key), rank)
-
-    def _why_go(self, now: Seconds, machine_id: MachineId, record: MachineRecord, body: Any) -> str:
-        if not record.up:
-            since = self._up_since.setdefault(machine_id, now)
-            return "never up" if now - since > self.fleet.boot_limit(record.type) else ""
-        if body is None:
-            return ""
-        listed = self.listed.get(machine_id)
-        if listed is not None and listed.state == "failed":
-            return "failed"
-        lease_s = self.settings.workers.lease_s
-        if body["silent"] > lease_s + 1.0:
-            return "silent"
-        if body["wanted_gone"] and body["silent"] > lease_s / 2:
-            # A hanging machine may hold a cancelled task until its deletion.
-            return "silent with cancelled tasks"
-        if body["faulty"]:
-            return "faulty"
-        return ""
+        heard: dict[MachineId, dict[str, Any]] = {}
+        silent: dict[str, Any] = {}
+        for part in self._owned():
+            heard.update(part.machines)
+            # What a part has not heard for long is told in full each time; a status that is
+            # itself old says less than its age.
+            silent.update(part.fresh["silent"])
+            for machine_id, (type_, zone, spot, _) in part.fresh["strangers"].items():
+                self.book.adopt(machine_id, type_, zone, spot, wall, 1)
+        self.book.review(now, wall, heard, silent, self.settings.zones)
 
     def _fleet_changes(
         self,
         now: Seconds,
         wall: Seconds,
-        views: dict[Zone, list[View]],
+        rooms: list[PartRooms],
         ordered: list[tuple[JobId, JobRecord, int]],
     ) -> list[Change]:
         changes: list[Change] = []
@@ -689,16 +644,11 @@
             key = BOOKINGS + name
             if machines is None or len(machines) < booking.count:
                 self.fleet.no_capacity(now, booking)
-            for machine_id in machines or []:
-                if machine_id not in self.mirror.machines:
-                    record = MachineRecord(
-                        type=booking.type, zone=booking.zone, spot=booking.spot, at=wall
-                    )
-                    changes.append(self._machine_change(machine_id, record, 0))
+            self.book.rented(name, booking, machines or [], wall)
             changes.append(Change(key, None, self.mirror.version(key), 0))
-        needs = self._needs(wall, ordered)
-        if self._ready(now):
-            rooms = [v for part in views.values() for v in part]
+        if now - self._fleet_at >= FLEET_S and self._ready(now):
+            self._fleet_at = now
+            needs = self._needs(wall, ordered)
             spare = self._spare_slots(rooms)
             bookings, unmet = self.fleet.rent(now, wall, needs, rooms)
             for asked in bookings:
@@ -710,7 +660,7 @@
                     "event=rent booking=%s type=%s zone=%s spot=%s count=%d",
                     name, asked.type, asked.zone, asked.spot, asked.count,
                 )  # fmt: skip
-            changes += self._returns(now, unmet, spare)
+            self._returns(unmet, spare)
         return changes
 
     def _ready(self, now: Seconds) -> bool:
@@ -718,17 +668,27 @@
         if not self.mirror.types or now - self.started < 1.0:
             return False
         zones = {z for z in self.mirror.parts if z in self.settings.zones}
-        fresh = {z for z, s in self.status.items() if now - s.at < STATUS_S}
+        fresh = {p.zone for p in self._owned() if now - p.at < STATUS_S}
         return bool(zones) and zones <= fresh
 
     def _needs(self, wall: Seconds, ordered: list[tuple[JobId, JobRecord, int]]) -> list[Need]:
-        needs = []
+        needs: list[Need] = []
+        alike: dict[Any, int] = {}
         for job_id in sorted(self.mirror.live_jobs, key=lambda j: self.mirror.jobs[j].at):
             job = self._job(job_id)
             if not job.spec.gang or not job.open:
                 continue
             if job.gang is None or self._long_held(job_id, job.gang):
-                needs.append(Need(job.spec, job.spec.tasks, True))
+                spec = job.spec
+                # Gangs that may span all parts need the same as one gang of all their tasks.
+                key = None if spec.one_zone or spec.spread else shape_of(spec)
+                if key is not None and key in alike:
+                    old = needs[alike[key]]
+                    needs[alike[key]] = old._replace(tasks=old.tasks + spec.tasks)
+                    continue
+                if key is not None:
+                    alike[key] = len(needs)
+                needs.append(Need(spec, spec.tasks, True))
         groups: dict[Any, list[tuple[JobId, JobRecord, int]]] = {}
         for entry in ordered:
             spec = entry[1].spec
@@ -741,9 +701,7 @@
                 horizon = self.tuning.horizon_accelerator_s
             for job_id, job, left in entries:
                 placed = sum(
-                    s.body["jobs"][job_id]["placed"]
-                    for s in self.status.values()
-                    if job_id in s.body["jobs"]
+                    p.jobs[job_id]["placed"] for p in self.parts.values() if job_id in p.jobs
                 )
                 granted = sum(len(tasks) for tasks in job.grants.values())
                 running += placed
@@ -767,43 +725,39 @@
     def _long_held(self, job_id: JobId, gang: GangPlace) -> bool:
         """Whether a gang's slots will still be busy for long: more room is wanted then."""
         for zone in gang.zones():
-            status = self.status.get(Zone(zone))
-            if status is not None:
-                attempt, state, wait = status.body["gangs"].get(job_id, (0, "", 0.0))
+            part = self.parts.get(Zone(zone))
+            if part is not None:
+                attempt, state, wait = part.gangs.get(job_id, (0, "", 0.0))
                 if attempt == gang.attempt and state == "held" and wait > LONG_HOLD_S:
                     return True
         return False
 
-    def _returns(self, now: Seconds, needs: list[Need], spare: int) -> list[Change]:
+    def _returns(self, needs: list[Need], spare: int) -> None:
         """Machines that have been idle for a while go back, unless something waits for them."""
-        changes = []
-        for status in self.status.values():
-            for machine_id, body in status.body["machines"].items():
+        placed = {
+            machine
+            for job_id in self.mirror.live_jobs
+            if (gang := self._job(job_id).gang) is not None
+            for _, machine in gang.places
+        }
+        for part in self._owned():
+            for machine_id, idle in part.fresh["idle"].items():
                 record = self.mirror.machines.get(machine_id)
-                if record is None or record.doomed or not record.up:
-                    continue
-                idle = body["idle"] > self.fleet.patience(record.type) or (
-                    body["leaving"] and body["idle"] > 1.0
-                )
-                if not idle or self._wanted(machine_id, record, needs):
+                body = part.machines.get(machine_id)
+                if record is None or body is None or record.doomed or not record.up:
                     continue
-                if any(
-                    job.gang is not None and any(m == machine_id for _, m in job.gang.places)
-                    for job in (self._job(j) for j in self.mirror.live_jobs)
-                ):
+                over = idle > self.fleet.patience(record.type) or body["leaving"]
+                if not over or machine_id in placed or self._wanted(record, needs):
                     continue
                 slots = self._gang_slots(record)
                 if slots and spare < slots:
                     continue
                 spare -= slots
-                gone = msgspec.structs.replace(record, doomed=True)
-                changes.append(self._machine_change(machine_id, gone, 2))
-                log.info("event=machine_doomed machine=%s reason=idle", machine_id)
-        return changes
+                self.book.doom(machine_id, "idle", 2)
 
-    def _spare_slots(self, rooms: list[View]) -> int:
+    def _spare_slots(self, rooms: list[PartRooms]) -> int:
         """How many idle slots of the gangs' size there are beyond those to be kept."""
-        idle = sum(self.gangs.size.times_in(v.free) for v in rooms)
+        idle = sum(self.gangs.size.times_in(v.free) for p in rooms for v in p.open)
         return idle - math.ceil(self.gangs.slots)
 
     def _gang_slots(self, record: MachineRecord) -> int:
@@ -812,7 +766,7 @@
             return 0
         return self.gangs.size.times_in(kind.size)
 
-    def _wanted(self, machine_id: str, record: MachineRecord, needs: list[Need]) -> bool:
+    def _wanted(self, record: MachineRecord, needs: list[Need]) -> bool:
         kind = self.mirror.types.get(record.type)
         return kind is not None and any(
             need.spec.size.fits(kind.size)
--- /dev/null
+++ b/src/dapplewick/core/machines.py
@@ -0,0 +1,168 @@
+"""The leader's book of machines: which came up, which are unknown, which have to go."""
+
+from __future__ import annotations
+
+import logging
+from collections.abc import Iterable
+from typing import Any, NamedTuple
+
+import msgspec
+
+from dapplewick.core.fleet import Fleet
+from dapplewick.protocol.wire import Listed, MachineList
+from dapplewick.storage.records import (
+    BOOTING,
+    DOOMED,
+    MACHINES,
+    UP,
+    BookingRecord,
+    GroupRecord,
+    MachineRecord,
+    Mirror,
+)
+from dapplewick.types import MachineId, Seconds
+
+log = logging.getLogger("dapplewick.leader")
+
+SOON, LATER = 0, 2  # ranks of changes
+
+
+class Change(NamedTuple):
+    """A record to write (or remove, without a value) if it still has this version."""
+
+    key: str
+    value: Any
+    version: int
+    rank: int  # lower ones are written first
+
+
+class MachineBook:
+    """Drafts of the records of machines, which are kept in a group for each rental."""
+
+    def __init__(self, mirror: Mirror, fleet: Fleet, lease_s: Seconds, lag_s: Seconds) -> None:
+        self.mirror = mirror
+        self.fleet = fleet
+        self.lease_s = lease_s
+        self.lag_s = lag_s
+        self.deleted: set[MachineId] = set()
+        self.listed: dict[MachineId, Listed] = {}
+        self._unknown_since: dict[MachineId, Seconds] = {}
+        self._up_since: dict[MachineId, Seconds] = {}
+        self._drafts: dict[str, tuple[GroupRecord, int]] = {}
+
+    def were_deleted(self, machines: Iterable[MachineId]) -> None:
+        self.deleted.update(machines)
+
+    def were_listed(self, now: Seconds, listing: MachineList) -> None:
+        self.listed = {MachineId(item.machine): item for item in listing.machines}
+        known = self.mirror.machines.keys() | self.deleted
+        self._unknown_since = {
+            m: self._unknown_since.get(m, now) for m in self.listed if m not in known
+        }
+
+    # Drafts
+
+    def begin(self) -> None:
+        self._drafts.clear()
+
+    def changes(self) -> list[Change]:
+        out = []
+        for name, (group, rank) in self._drafts.items():
+            key = MACHINES + name
+            value = msgspec.to_builtins(group) if group.machines else None
+            out.append(Change(key, value, self.mirror.version(key), rank))
+        return out
+
+    def _draft(self, name: str, rank: int) -> GroupRecord:
+        draft = self._drafts.get(name)
+        if draft is None:
+            old = self.mirror.groups[name]
+            group = msgspec.structs.replace(old, machines=dict(old.machines))
+        else:
+            group, rank = draft[0], min(rank, draft[1])
+        self._drafts[name] = (group, rank)
+        return group
+
+    def _set(self, machine_id: MachineId, state: str, rank: int) -> None:
+        self._draft(self.mirror.group_of[machine_id], rank).machines[machine_id] = state
+
+    def doom(self, machine_id: MachineId, why: str, rank: int = SOON) -> None:
+        log.info("event=machine_doomed machine=%s reason=%s", machine_id, why)
+        self._set(machine_id, DOOMED, rank)
+
+    def rented(
+        self, name: str, booking: BookingRecord, machines: list[MachineId], wall: Seconds
+    ) -> None:
+        """The machines of a rental: one record for all of them."""
+        new = [m for m in machines if m not in self.mirror.machines and m not in self.deleted]
+        if new and name not in self.mirror.groups:
+            self._drafts[name] = (
+                GroupRecord(
+                    type=booking.type, zone=booking.zone, spot=booking.spot, at=wall,
+                    machines=dict.fromkeys(new, BOOTING),
+                ),
+                SOON,
+            )  # fmt: skip
+
+    def adopt(
+        self, machine_id: MachineId, type_: str, zone: str, spot: bool, wall: Seconds, rank: int
+    ) -> None:
+        """A machine that nobody here knows of: used or returned like the others."""
+        name = f"x-{machine_id}"
+        if name in self._drafts or machine_id in self.mirror.machines:
+            return
+        if machine_id in self.deleted:
+            return
+        group = GroupRecord(
+            type=type_, zone=zone, spot=spot, at=wall, machines={machine_id: BOOTING}
+        )
+        self._drafts[name] = (group, rank)
+        log.info("event=machine_adopted machine=%s", machine_id)
+
+    # The pass
+
+    def review(
+        self, now: Seconds, wall: Seconds, heard: dict[MachineId, Any], silent: dict[str, Any],
+        zones: list[str],
+    ) -> None:  # fmt: skip
+        """Look at every machine: `heard` is what the parts say of each, `silent` names those
+        they have not heard for a while."""
+        for machine_id, record in self.mirror.machines.items():
+            if record.doomed:
+                if machine_id in self.deleted:
+                    name = self.mirror.group_of[machine_id]
+                    self._draft(name, SOON).machines.pop(machine_id, None)
+                    self._up_since.pop(machine_id, None)
+                continue
+            body = heard.get(machine_id)
+            why = self._why_go(now, machine_id, record, body, silent.get(machine_id))
+            if why:
+                self.doom(machine_id, why)
+            elif body is not None and body["heard"] and not record.up:
+                self._set(machine_id, UP, SOON)
+        # Lists lag: a machine that is gone may still be listed for twice the lag.
+        patience = 2.5 * self.lag_s
+        for machine_id, since in self._unknown_since.items():
+            item = self.listed[machine_id]
+            if now - since > patience and item.zone in zones:
+                self.adopt(machine_id, item.type, item.zone, item.spot, wall, LATER)
+
+    def _why_go(
+        self, now: Seconds, machine_id: MachineId, record: MachineRecord, body: Any, silent: Any
+    ) -> str:
+        if not record.up:
+            since = self._up_since.setdefault(machine_id, now)
+            return "never up" if now - since > self.fleet.boot_limit(record.type) else ""
+        listed = self.listed.get(machine_id)
+        if listed is not None and listed.state == "failed":
+            return "failed"
+        if silent is not None:
+            quiet, wanted_gone = silent
+            if quiet > self.lease_s + 1.0:
+                return "silent"
+            if wanted_gone and quiet > self.lease_s / 2:
+                # A hanging machine may hold a cancelled task until its deletion.
+                return "silent with cancelled tasks"
+        if body is not None and body["faulty"]:
+            return "faulty"
+        return ""
--- a/src/dapplewick/core/model.py
+++ b/src/dapplewick/core/model.py
@@ -3,12 +3,22 @@
 from __future__ import annotations
 
 import math
+from bisect import bisect_right
 from collections.abc import Iterable
 from typing import Any
 
 from dapplewick.core.demand import AcceleratorDemand, GangDemand
 from dapplewick.protocol.wire import JobSpec
-from dapplewick.types import MachineId, Seconds, Size, TypeName, Zone
+from dapplewick.types import NOTHING, MachineId, Seconds, Size, TypeName, Zone
+
+GANG_RANK = 99  # a gang's task counts as this among ends: nothing stops it for another gang
+
+Shape = tuple[Any, ...]
+
+
+def shape_of(spec: JobSpec) -> Shape:
+    """What decides where a task fits: jobs that are alike in it need to be looked at once."""
+    return (spec.size, tuple(spec.types or ()), spec.spot, spec.zone, spec.rank, spec.gang)
 
 
 class View:
@@ -16,15 +26,20 @@
 
     __slots__ = (
         "capacity",
+        "could_be",
         "demand",
         "ends",
         "free",
         "id",
         "images",
         "kept",
+        "memo",
+        "now",
         "queued",
         "spot",
+        "told",
         "type",
+        "usable",
         "zone",
     )
 
@@ -47,24 +62,37 @@
         self.spot = spot
         self.capacity = capacity
         self.free = free
-        self.ends = ends
+        self.told = free  # the free room as its part told it
+        self.ends = ends  # when its singles are estimated to end, their sizes and ranks
+        self.now = 0.0
         self.queued = queued
         self.demand = demand
+        self.could_be = free.cpus + sum(size.cpus for _, size, _ in ends)
         self.images = frozenset(images)
+        self.usable = True
+        self.memo: dict[Any, Any] = {}  # slots by shape, until room is taken
         self.kept: GangDemand | None = None  # set while its part's idle slots are kept for gangs
 
+    def begin(self, now: Seconds) -> None:
+        """A new pass: what the last one took is forgotten."""
+        self.free = self.told
+        self.now = now
+        if self.memo:
+            self.memo.clear()
+
     def warm(self, spec: JobSpec) -> bool:
         """Whether the image of this work is there, or being fetched."""
         return spec.image in self.images
 
     def room(self, spec: JobSpec) -> Size:
         """The free room that this work may use."""
-        if spec.gpus > 0 or self.demand is None:
-            return self.free
         free = self.free
+        if spec.gpus > 0 or self.demand is None:
+            return free
         if self.kept is not None and self.kept.applies(spec):
             free = self.kept.rest(free)
-        return free.minus(self.demand.reserve(self.capacity, self.free))
+        reserve = self.demand.reserve(self.capacity, self.free)
+        return free if reserve is NOTHING else free.minus(reserve)
 
     def times(self, spec: JobSpec) -> int:
         return spec.size.times_in(self.room(spec))
@@ -83,13 +111,13 @@
         room = forced = self.room(spec)
         if size.fits(room):
             return 0.0, 0.0
-        natural = stopped = -1.0
-        for left, taken, other in self.ends:
+        natural = -1.0
+        for end, taken, other in self.ends:
             room = room.plus(taken)
             if other < rank:
                 forced = forced.plus(taken)
             if natural < 0.0 and size.fits(room):
-                natural = left
+                natural = max(0.0, end - self.now)
         if natural < 0.0:
             return None
         stopped = 0.0 if size.fits(forced) else natural
@@ -97,6 +125,28 @@
 
     def take(self, size: Size) -> None:
         self.free = self.free.minus(size)
+        if self.memo:
+            self.memo.clear()
+
+    def slot_waits(self, spec: JobSpec, shape: Shape) -> list[Seconds]:
+        """When slots of this shape become idle here, by themselves or, where that helps, with
+        work of lower rank stopped."""
+        waits: list[Seconds] | None = self.memo.get((shape,))
+        if waits is None:
+            waits = self.memo[(shape,)] = []
+            if self.could_be >= spec.cpus - 1e-6 and self.allows(spec):
+                saved = self.free
+                while (times := self.room_in(spec)) is not None:
+                    self.free = self.free.minus(spec.size)
+                    waits.append(min(times))
+                self.free = saved
+        return waits
+
+    def idle_slots(self, spec: JobSpec, shape: Shape) -> int:
+        count = self.memo.get(shape)
+        if count is None:
+            count = self.memo[shape] = self.times(spec) if self.allows(spec) else 0
+        return count
 
 
 def spare_key(view: View, spec: JobSpec) -> tuple[float, ...]:
@@ -173,12 +223,14 @@
     capacity: Size,
     status: dict[str, Any],
     demand: AcceleratorDemand,
+    clock: Seconds = 0.0,
 ) -> View:
+    """A machine as a part's status tells it; `clock` is our clock less the part's."""
     ends = [
-        (float(left), Size(cpus, gpus, ram), int(rank))
-        for left, cpus, gpus, ram, rank in status["ends"]
+        (float(end) + clock, Size(cpus, gpus, ram), int(rank))
+        for end, cpus, gpus, ram, rank in status["ends"]
     ]
-    return View(
+    view = View(
         machine,
         TypeName(type_),
         Zone(zone),
@@ -190,37 +242,103 @@
         demand,
         status["images"],
     )
+    view.usable = bool(status["usable"])
+    return view
 
 
-def take_times(view: View, spec: JobSpec, count: int) -> None:
-    """Take the room of `count` tasks."""
-    size = spec.size
-    view.take(Size(size.cpus * count, size.gpus * count, size.ram * count))
+class PartRooms:
+    """One part's rooms within a pass."""
 
+    def __init__(self, zone: Zone, views: list[View]) -> None:
+        self.zone = zone
+        self.views = views
+        self.open = [v for v in views if v.free.cpus > 1e-6]
+        self._totals: dict[Shape, int] = {}
+        self._waits: dict[Shape, list[Seconds]] = {}
+        self._kept: GangDemand | None = None
+        self._idle: int | None = None
 
-def room_for(views: Iterable[View], spec: JobSpec, zone: str | None = None) -> int:
-    """For how many tasks there is idle room, in one zone or in all."""
-    return sum(v.times(spec) for v in views if v.allows(spec) and (zone is None or v.zone == zone))
+    def changed(self) -> None:
+        """Room was taken here."""
+        self._totals.clear()
+        self._waits.clear()
+        self._idle = None
 
+    def add(self, view: View) -> None:
+        self.views.append(view)
+        self.open.append(view)
+        self._totals.clear()
+        self._waits.clear()
+        self._idle = None
 
-def take_most(views: Iterable[View], spec: JobSpec, most: int, warm: bool = False) -> int:
-    """Take idle room for up to `most` tasks, perhaps only where their image is; gives for how
-    many there was some."""
-    taken = 0
-    for view in sorted(
-        (v for v in views if v.allows(spec) and (v.warm(spec) or not warm)),
-        key=lambda v: spare_key(v, spec),
-    ):
-        count = min(most - taken, view.times(spec))
-        if count > 0:
-            take_times(view, spec, count)
-            taken += count
-    return taken
-
-
-def keep_for_gangs(views: list[View], gangs: GangDemand, share: float) -> None:
-    """Mark a part's rooms if it has no more idle slots than are to be kept for gangs."""
-    idle = sum(gangs.size.times_in(v.free) for v in views)
-    kept = gangs if idle <= math.ceil(gangs.slots * share) else None
-    for view in views:
-        view.kept = kept
+    def idle(self, spec: JobSpec, shape: Shape) -> int:
+        """For how many tasks there is idle room."""
+        total = self._totals.get(shape)
+        if total is None:
+            cpus = spec.cpus - 1e-6
+            total = sum(v.idle_slots(spec, shape) for v in self.open if v.free.cpus >= cpus)
+            self._totals[shape] = total
+        return total
+
+    def held(self, spec: JobSpec, shape: Shape, limit: Seconds) -> int:
+        """For how many tasks slots become idle within a time."""
+        waits = self._waits.get(shape)
+        if waits is None:
+            waits = self._waits[shape] = sorted(
+                wait for view in self.views for wait in view.slot_waits(spec, shape)
+            )
+        return bisect_right(waits, limit)
+
+    def candidates(self, spec: JobSpec) -> list[View]:
+        cpus, gpus = spec.cpus - 1e-6, spec.gpus - 1e-6
+        return [
+            v for v in self.open if v.free.cpus >= cpus and v.free.gpus >= gpus and v.allows(spec)
+        ]
+
+    def take_most(self, spec: JobSpec, most: int, warm: bool = False) -> int:
+        """Take idle room for up to `most` tasks, perhaps only where their image is; gives for
+        how many there was some."""
+        if most <= 0:
+            return 0
+        views = self.candidates(spec)
+        if warm:
+            views = [v for v in views if spec.image in v.images]
+        if not views:
+            return 0
+        views.sort(key=lambda v: spare_key(v, spec))
+        taken = 0
+        for view in views:
+            count = min(most - taken, view.times(spec))
+            if count > 0:
+                take_times(view, spec, count)
+                taken += count
+                if taken == most:
+                    break
+        if taken:
+            self.changed()
+        return taken
+
+    def take(self, views: Iterable[View], size: Size) -> None:
+        for view in views:
+            view.take(size)
+        self.changed()
+
+    def keep_for_gangs(self, gangs: GangDemand, share: float) -> None:
+        """Mark the rooms if there are no more idle slots than are to be kept for gangs."""
+        if gangs.slots < 0.5:
+            return
+        if self._idle is None:
+            self._idle = sum(gangs.size.times_in(v.free) for v in self.open)
+        kept = gangs if self._idle <= math.ceil(gangs.slots * share) else None
+        if kept is not self._kept:
+            self._kept = kept
+            self._totals.clear()
+            self._waits.clear()
+            for view in self.views:
+                view.kept = kept
+                view.memo.clear()
+
+
+def take_times(view: View, spec: JobSpec, count: int) -> None:
+    """Take the room of `count` tasks."""
+    view.take(spec.size.times(count))
--- a/src/dapplewick/core/part.py
+++ b/src/dapplewick/core/part.py
@@ -1,7 +1,8 @@
 """One part: the machines of one zone, their slots and queues, holds, backfill and stealing.
 
 A state machine without I/O: it is given reports and changed records together with the time,
-and answers with orders for the machine that reported and with a status for the leader.
+and answers with orders for the machine that reported and with a status for the leader. The
+work for a report depends on the machine that sent it, not on how many there are.
 """
 
 from __future__ import annotations
@@ -10,12 +11,27 @@
 import math
 import random
 import statistics
-from collections import deque
-from collections.abc import Iterator
+from collections.abc import Iterable, Iterator
 from typing import Any
 
 from dapplewick.core.demand import AcceleratorDemand, GangDemand
 from dapplewick.core.estimates import Estimates
+from dapplewick.core.part_state import (
+    ASSIGNED,
+    FINISHED,
+    ON,
+    RETURNED,
+    SLOW_SAMPLES,
+    UNSURE,
+    WAITING,
+    Hold,
+    Live,
+    Machine,
+    Queues,
+    Single,
+    Slot,
+)
+from dapplewick.core.part_status import Touched, full_status
 from dapplewick.protocol.wire import JobSpec, Order, Report, TaskReport
 from dapplewick.storage.records import JobRecord, Mirror
 from dapplewick.tuning import Tuning
@@ -41,98 +57,11 @@
 FRESH_S = 6.0  # a machine silent for longer takes no new work
 GRACE_S = 5.0  # over a task's own saving time, when it is stopped in order
 RETRY_S = 2.0  # first pause after a failure, doubled with each further one
-SLOW_SAMPLES = 12  # run times that are compared before a machine is called slow
 SLOW_BY = 0.6  # above the other machines' mean logarithm of run time over expected
 SLOW_LEAST = 3  # machines to compare with
+OVERRUN = 0.2  # a task that ran on beyond its estimate is expected to go on for this share
 FAULTY = 4  # failures in a row, of different jobs, that make a machine suspect
-
-WAITING, ASSIGNED, ON, UNSURE, RETURNED, FINISHED = range(6)
-
-
-class Single:
-    """A task of an array that is granted to this part."""
-
-    __slots__ = ("fails", "machine", "not_before", "queue", "since", "state")
-
-    def __init__(self, state: int, now: Seconds) -> None:
-        self.state = state
-        self.machine: MachineId | None = None
-        self.queue: Slot | None = None
-        self.since = now
-        self.fails = 0
-        self.not_before = 0.0
-
-
-class Slot:
-    """A share of a machine, carved to the size of its task, with a queue of singles."""
-
-    __slots__ = ("current", "machine", "queue")
-
-    def __init__(self, machine: MachineId) -> None:
-        self.machine = machine
-        self.current: TaskRef | None = None
-        self.queue: deque[TaskRef] = deque()
-
-
-class Live:
-    """A task that is, or may be, on a machine."""
-
-    __slots__ = ("attempt", "running_at", "sent", "since", "stage", "stopped")
-
-    def __init__(self, attempt: Attempt, stage: str, now: Seconds, sent: bool) -> None:
-        self.attempt = attempt
-        self.stage = stage
-        self.since = now
-        self.sent = sent  # told to start, but not yet seen in a report
-        self.running_at: Seconds | None = None
-        self.stopped = False
-
-
-class Machine:
-    """A machine as its reports tell it."""
-
-    def __init__(self, machine: MachineId, now: Seconds) -> None:
-        self.id = machine
-        self.capacity = NOTHING
-        self.type = ""
-        self.spot = False
-        self.address = ""
-        self.heard = False  # has reported under this part's token
-        self.newest = (0, 0)
-        self.last = now
-        self.notice: Seconds | None = None
-        self.live: dict[TaskRef, Live] = {}
-        self.slots: list[Slot] = []
-        self.images: dict[str, None] = {}
-        self.idle_since = now
-        self.failures: dict[JobId, Seconds] = {}
-        self.lateness: deque[float] = deque(maxlen=SLOW_SAMPLES)
-        self.slow = False  # tasks take much longer here than elsewhere
-
-    def slot_of(self, task: TaskRef) -> Slot | None:
-        for slot in self.slots:
-            if slot.current == task:
-                return slot
-        return None
-
-
-class Hold:
-    """Slots of this part held for an attempt of a gang."""
-
-    __slots__ = (
-        "attempt", "bad", "inherited", "launched", "places", "preempt", "ready", "seen", "since",
-    )  # fmt: skip
-
-    def __init__(self, attempt: int, places: dict[int, MachineId], now: Seconds) -> None:
-        self.attempt = attempt
-        self.places = places
-        self.inherited = False  # taken over with the part from an earlier owner
-        self.ready = False  # all its slots are idle: the starts go out
-        self.launched: set[int] = set()
-        self.seen: set[int] = set()
-        self.bad = ""
-        self.preempt = False
-        self.since = now
+SLOW_TICK_S = 1.0  # what looks at all machines, holds and waiting singles is done this often
 
 
 class PartCore:
@@ -159,11 +88,16 @@
         self.machines: dict[MachineId, Machine] = {}
         self.singles: dict[JobId, dict[int, Single]] = {}
         self.holds: dict[JobId, Hold] = {}
-        self.loose: deque[TaskRef] = deque()
+        self._holds_on: dict[MachineId, dict[JobId, Hold]] = {}
+        self.queues = Queues()
         self.later: list[TaskRef] = []
         self.done_gangs: dict[JobId, int] = {}
         self.strangers: dict[MachineId, Report] = {}
         self._pace: dict[JobId, tuple[float, int]] = {}
+        self._unsure = False  # whether any single may be on a machine not yet heard
+        self._slow_at = -1e9
+        self._few = False  # whether few idle slots of the gangs' size are left
+        self.touched = Touched()
         self.dirty = True
         self.demand = AcceleratorDemand(mirror)
         self.gang_demand = GangDemand(mirror, (tuning or Tuning()).spare_slots)
@@ -191,6 +125,7 @@
             singles = self.singles.setdefault(job_id, {})
             for index in [i for i in singles if i not in granted]:
                 self._drop(TaskRef(job_id, TaskIndex(index)), singles.pop(index))
+            self._unsure = self._unsure or (takeover and bool(granted))
             for index, single in singles.items():
                 # What was given back under an older version of the record and is granted in
                 # this one was granted anew, or was not yet heard: the leader only takes back
@@ -201,9 +136,10 @@
                 task = TaskRef(job_id, TaskIndex(index))
                 singles[index] = Single(UNSURE if takeover else WAITING, now)
                 if not takeover:
-                    self.loose.append(task)
+                    self.queues.loose.append(task)
             if not singles:
                 del self.singles[job_id]
+            self.touched.job(job_id)
         self._gang_changed(now, job_id, job, takeover)
         self.dirty = True
 
@@ -214,7 +150,7 @@
         gang = job.gang if job is not None else None
         if gang is None or self.zone not in gang.zones():
             if hold is not None:
-                del self.holds[job_id]
+                self._remove_hold(job_id, hold)
             self.done_gangs.pop(job_id, None)
             return
         if hold is None or hold.attempt != gang.attempt:
@@ -227,14 +163,35 @@
                 # started twice, so what is not found on its machine ends this attempt.
                 hold.inherited = hold.ready = True
                 hold.launched = set(places)
+            if job_id in self.holds:
+                self._remove_hold(job_id, self.holds[job_id])
             self.holds[job_id] = hold
+            for machine_id in hold.on:
+                self._holds_on.setdefault(machine_id, {})[job_id] = hold
+                self.touched.machine(machine_id)
         hold.preempt = gang.preempt
+        if not takeover:
+            self._check_hold(now, job_id, hold)
+
+    def _remove_hold(self, job_id: JobId, hold: Hold) -> None:
+        del self.holds[job_id]
+        for machine_id in hold.on:
+            there = self._holds_on.get(machine_id)
+            if there is not None:
+                there.pop(job_id, None)
+                if not there:
+                    del self._holds_on[machine_id]
+            self.touched.machine(machine_id)
 
     def machine_changed(self, now: Seconds, machine_id: MachineId) -> None:
         """A machine's record has changed; without one it is gone, with all that was on it."""
         record = self.mirror.machines.get(machine_id)
+        self.touched.machine(machine_id)
         if record is not None:
             self.strangers.pop(machine_id, None)
+            machine = self.machines.get(machine_id)
+            if machine is not None:
+                self._note_usable(now, machine)
             return
         self.unheard.discard(machine_id)
         machine = self.machines.pop(machine_id, None)
@@ -242,8 +199,8 @@
             self._requeue_slots(machine)
             for task in list(machine.live):
                 self._gone(now, machine, task, "machine gone")
-        for job_id, hold in self.holds.items():
-            if not hold.bad and machine_id in hold.places.values():
+        for job_id, hold in self._holds_on.get(machine_id, {}).items():
+            if not hold.bad:
                 hold.bad = "machine gone"
                 log.info("event=gang_broken job=%s reason=machine_gone", job_id)
         self._settle_unsure(now)
@@ -273,38 +230,52 @@
         if settles and not machine.heard:
             machine.heard = True
             self.dirty = True
+            self.touched.machine(machine.id)
             self.unheard.discard(report.machine)
         if new_session:
             machine.images.clear()
         orders = self._take_tasks(now, machine, report, settles, new_session)
         if settles:
             self._settle_unsure(now)
-        self._join_all(now)
-        self._check_holds(now)
+        for job_id, hold in self._holds_on.get(machine.id, {}).items():
+            self._check_hold(now, job_id, hold)
         orders += self._stops(now, machine)
-        usable = may_launch and settles and self._usable(now, machine)
-        if usable:
+        usable = self._note_usable(now, machine)
+        if usable and may_launch and settles:
             orders += self._launches(now, machine)
         busy = any(live.stage != "exited" for live in machine.live.values())
         if busy or self._held_on(machine.id):
             machine.idle_since = now
         return orders
 
+    def _note_usable(self, now: Seconds, machine: Machine) -> bool:
+        usable = self._usable(now, machine)
+        if usable != machine.was_usable:
+            machine.was_usable = usable
+            self.touched.machine(machine.id)
+            self.dirty = True
+        return usable
+
     def tick(self, now: Seconds) -> None:
         """Time has passed."""
-        self.demand.update(now)
-        self.gang_demand.update(now)
         if self.later:
             ready = [t for t in self.later if self._not_before(t) <= now]
             if ready:
                 self.later = [t for t in self.later if self._not_before(t) > now]
-                self.loose.extend(ready)
-        for machine in self.machines.values():
-            if machine.slots and not self._usable(now, machine):
-                self._requeue_slots(machine)
+                self.queues.loose.extend(ready)
+        if now - self._slow_at >= SLOW_TICK_S:
+            self._slow_at = now
+            self._compare_speed()
+            self.demand.update(now)
+            self.gang_demand.update(now)
+            self._few = self.gang_demand.slots >= 0.5 and self._few_slots()
+            for machine in self.machines.values():
+                if not self._note_usable(now, machine) and machine.slots:
+                    self._requeue_slots(machine)
+            for job_id, hold in self.holds.items():
+                self._check_hold(now, job_id, hold)
+            self._return_long_waits(now)
         self._join_all(now)
-        self._check_holds(now)
-        self._return_long_waits(now)
 
     # Bookkeeping of what is where
 
@@ -351,60 +322,76 @@
         return len(machine.failures) >= FAULTY
 
     def _size(self, task: TaskRef) -> Size:
-        spec = self._spec(task)
-        return spec.size if spec is not None else NOTHING
+        job = self.mirror.jobs.get(task.job)
+        return job.size if job is not None else NOTHING
+
+    def _changed(self, machine: Machine) -> None:
+        """What is on this machine, or meant for it, has changed."""
+        machine.used = None
+        self.touched.machine(machine.id)
+        self.dirty = True
 
     def _used(self, machine: Machine) -> Size:
-        used = NOTHING
-        for task, live in machine.live.items():
-            if live.stage != "exited":
-                used = used.plus(self._size(task))
-        for slot in machine.slots:
-            if slot.current is not None and slot.current not in machine.live:
-                used = used.plus(self._size(slot.current))
+        used = machine.used
+        if used is None:
+            cpus = gpus = ram = 0.0
+            for live in machine.live.values():
+                if live.stage != "exited":
+                    size = live.size
+                    cpus += size.cpus
+                    gpus += size.gpus
+                    ram += size.ram
+            for slot in machine.slots:
+                if slot.current is not None and slot.current not in machine.live:
+                    cpus += slot.size.cpus
+                    gpus += slot.size.gpus
+                    ram += slot.size.ram
+            used = machine.used = Size(cpus, gpus, ram)
         return used
 
-    def _free(self, machine: Machine) -> Size:
+    def free(self, machine: Machine) -> Size:
         return machine.capacity.minus(self._used(machine))
 
     def _free_for(self, machine: Machine, spec: JobSpec) -> Size:
         """The free room that this work may use."""
-        free = self._free(machine)
+        free = self.free(machine)
         if spec.gpus > 0:
             return free
         reserve = self.demand.reserve(machine.capacity, free)
-        if self.gang_demand.applies(spec) and self._few_slots():
+        if self._few and self.gang_demand.applies(spec):
             free = self.gang_demand.rest(free)
-        return free.minus(reserve)
+        return free if reserve is NOTHING else free.minus(reserve)
 
     def _few_slots(self) -> bool:
         """Whether no more idle slots are left here than are kept for gangs."""
         share = self.gang_demand.slots / max(1, len(self.mirror.parts))
-        idle = 0
-        for machine in self.machines.values():
-            idle += self.gang_demand.size.times_in(self._free(machine))
-            if idle > math.ceil(share):
-                return False
-        return True
+        size = self.gang_demand.size
+        idle = sum(size.times_in(self.free(m)) for m in self.machines.values())
+        return idle <= math.ceil(share)
 
     def _held_on(self, machine_id: MachineId) -> list[tuple[JobId, Hold, int]]:
         """Held slots of this machine whose start has not gone out."""
+        holds = self._holds_on.get(machine_id)
+        if not holds:
+            return []
         return [
             (job_id, hold, index)
-            for job_id, hold in self.holds.items()
+            for job_id, hold in holds.items()
             if not hold.bad and self._gang_wanted(job_id)
-            for index, where in hold.places.items()
-            if where == machine_id and index not in hold.launched
+            for index in hold.on[machine_id]
+            if index not in hold.launched
         ]
 
     def _gang_wanted(self, job_id: JobId) -> bool:
         job = self.mirror.jobs.get(job_id)
         return job is not None and job.open and job.gang is not None and not job.gang.over
 
-    def _held_size(self, machine_id: MachineId) -> Size:
+    def held_size(self, machine_id: MachineId) -> Size:
+        if machine_id not in self._holds_on:
+            return NOTHING
         size = NOTHING
-        for job_id, _, index in self._held_on(machine_id):
-            size = size.plus(self._size(TaskRef(job_id, TaskIndex(index))))
+        for job_id, _, _ in self._held_on(machine_id):
+            size = size.plus(self.mirror.jobs[job_id].size)
         return size
 
     def _drop(self, task: TaskRef, single: Single) -> None:
@@ -413,30 +400,46 @@
             slot = single.queue
             if slot.current == task and single.state == ASSIGNED:
                 slot.current = None
+                self._slot_changed(slot)
             elif task in slot.queue:
-                slot.queue.remove(task)
+                self.queues.leave(slot, task)
             single.queue = None
 
+    def _slot_changed(self, slot: Slot) -> None:
+        machine = self.machines.get(slot.machine)
+        if machine is not None:
+            self._changed(machine)
+
+    def _set(self, task: TaskRef, single: Single, state: int) -> None:
+        single.state = state
+        self.touched.job(task.job)
+        self.dirty = True
+
     def _take_tasks(
         self, now: Seconds, machine: Machine, report: Report, settles: bool, new_session: bool
     ) -> list[Order]:
         orders: list[Order] = []
-        listed = {t.task: t for t in report.tasks}
+        lives = machine.live
         if settles:
-            for task in [t for t, live in machine.live.items() if t not in listed]:
+            listed = {t.task for t in report.tasks}
+            for task in [t for t in lives if t not in listed]:
                 self._gone(now, machine, task, "not on its machine")
         for item in report.tasks:
-            live = machine.live.get(item.task)
+            task = item.task
+            live = lives.get(task)
             if live is None or live.attempt != item.attempt:
-                live = machine.live[item.task] = Live(item.attempt, item.stage, now, False)
-            if live.stage != item.stage or live.sent:
-                self.dirty = True
+                spec = self._spec(task)
+                live = lives[task] = Live(item.attempt, item.stage, now, False, spec)
+                self._changed(machine)
+            elif live.stage != item.stage or live.sent:
+                self._changed(machine)
+            if live.spec is None:
+                live.describe(self._spec(task))
+                machine.used = None
             live.sent = False
             live.stage = item.stage
-            if item.stage in ("fetching", "running", "gathering"):
-                spec = self._spec(item.task)
-                if spec is not None:
-                    machine.images[spec.image] = None
+            if live.spec is not None and item.stage in ("fetching", "running", "gathering"):
+                machine.images[live.spec.image] = None
             if item.stage == "running" and live.running_at is None:
                 live.running_at = now
             if item.stage == "exited":
@@ -444,38 +447,34 @@
             else:
                 self._present(now, machine, item)
         if settles:
-            for job_id, hold in self.holds.items():
-                for index, where in hold.places.items():
-                    task = TaskRef(job_id, TaskIndex(index))
-                    if (
-                        where == machine.id
-                        and index in hold.launched
-                        and task not in machine.live
-                        and not hold.bad
-                        and self.done_gangs.get(job_id) != hold.attempt
-                    ):
-                        # A start that was never seen was dropped with its answer, unless the
-                        # worker has begun a new session: then it may have run, and attempts
-                        # are not repeated.
-                        if index in hold.seen or hold.inherited or new_session:
-                            hold.bad = "start lost"
-                        else:
-                            hold.launched.discard(index)
-                        self.dirty = True
+            for job_id, hold in self._holds_on.get(machine.id, {}).items():
+                if hold.bad or self.done_gangs.get(job_id) == hold.attempt:
+                    continue
+                for index in hold.on[machine.id]:
+                    if index not in hold.launched or TaskRef(job_id, TaskIndex(index)) in lives:
+                        continue
+                    # A start that was never seen was dropped with its answer, unless the
+                    # worker has begun a new session: then it may have run, and attempts
+                    # are not repeated.
+                    if index in hold.seen or hold.inherited or new_session:
+                        hold.bad = "start lost"
+                    else:
+                        hold.launched.discard(index)
+                    self._changed(machine)
         return orders
 
     def _present(self, now: Seconds, machine: Machine, item: TaskReport) -> None:
         single = self._single(item.task)
         if single is not None:
-            if single.state == ON and single.machine != machine.id:
-                log.error("event=two_places task=%s/%d", item.task.job, item.task.number)
+            if single.state == ON:
+                if single.machine != machine.id:
+                    log.error("event=two_places task=%s/%d", item.task.job, item.task.number)
                 return
             if single.state in (WAITING, ASSIGNED, RETURNED):
                 log.error("event=unexpected_task task=%s/%d", item.task.job, item.task.number)
             if single.state != FINISHED:
-                if single.state != ON:
-                    self._drop(item.task, single)
-                single.state = ON
+                self._drop(item.task, single)
+                self._set(item.task, single, ON)
                 single.machine = machine.id
             return
         hold = self.holds.get(item.task.job)
@@ -503,9 +502,8 @@
                 if single.state != FINISHED:
                     self._learn(now, machine, task, live, single)
                     self._leave_slot(machine, task)
-                    single.state = FINISHED
+                    self._set(task, single, FINISHED)
                     single.machine = machine.id
-                    self.dirty = True
             elif hold is not None and hold.attempt == item.attempt:
                 if self.done_gangs.get(task.job) != item.attempt:
                     self.done_gangs[task.job] = hold.attempt
@@ -543,7 +541,6 @@
         mean, count = self._pace.get(task.job, (0.0, 0))
         if count >= 2:
             machine.lateness.append(max(-1.5, min(1.5, ratio - mean)))
-            self._compare_speed()
         self._pace[task.job] = (mean + (ratio - mean) / (count + 1), count + 1)
         while len(self._pace) > 500:
             del self._pace[next(iter(self._pace))]
@@ -567,7 +564,8 @@
             machine.slow = slow
 
     def _remove_live(self, machine: Machine, task: TaskRef) -> None:
-        machine.live.pop(task, None)
+        if machine.live.pop(task, None) is not None:
+            self._changed(machine)
         self._leave_slot(machine, task)
 
     def _leave_slot(self, machine: Machine, task: TaskRef) -> None:
@@ -579,6 +577,7 @@
         single = self._single(task)
         if single is None or single.queue is not slot:
             slot.current = None
+            self._changed(machine)
 
     def _gone(self, now: Seconds, machine: Machine, task: TaskRef, why: str) -> None:
         """A task is known not to be on its machine any more."""
@@ -603,7 +602,7 @@
             hold.bad = why
 
     def _again(self, now: Seconds, task: TaskRef, single: Single, failed: bool) -> None:
-        single.state = WAITING
+        self._set(task, single, WAITING)
         single.machine = None
         single.since = now
         single.queue = None
@@ -612,17 +611,19 @@
             single.not_before = now + min(60.0, RETRY_S * 2.0 ** (single.fails - 1))
             self.later.append(task)
         else:
-            self.loose.append(task)
+            self.queues.loose.append(task)
 
     def _settle_unsure(self, now: Seconds) -> None:
-        if self.unheard:
+        if self.unheard or not self._unsure:
             return
+        self._unsure = False
         for job_id, singles in self.singles.items():
             for index, single in singles.items():
                 if single.state == UNSURE:
-                    single.state = WAITING
+                    task = TaskRef(job_id, TaskIndex(index))
+                    self._set(task, single, WAITING)
                     single.since = now
-                    self.loose.append(TaskRef(job_id, TaskIndex(index)))
+                    self.queues.loose.append(task)
 
     # The design's first point: joining, queues and stealing
 
@@ -634,60 +635,72 @@
         )
 
     def _join_all(self, now: Seconds) -> None:
-        if not self.loose:
+        if not self.queues.loose:
             return
-        usable = [m for m in self.machines.values() if self._usable(now, m)]
-        waiting, self.loose = self.loose, deque()
+        usable = [m for m in self.machines.values() if m.was_usable]
+        waiting = list(self.queues.loose)
+        loose = self.queues.loose
+        loose.clear()
         stuck: set[tuple[JobId, int]] = set()
+        able: dict[JobId, list[Machine]] = {}
         for task in waiting:
             single = self._single(task)
             if single is None or single.state != WAITING or single.queue is not None:
                 continue
             # Tasks of one job are alike: where one finds no queue, the next finds none either.
             if (task.job, single.fails) in stuck:
-                self.loose.append(task)
-            elif not self._join(now, task, single, usable):
+                loose.append(task)
+                continue
+            spec = self._spec(task)
+            if spec is None:
+                loose.append(task)
+                continue
+            if task.job not in able:
+                size = spec.size
+                able[task.job] = [
+                    m for m in usable if self._allowed(spec, m) and size.fits(m.capacity)
+                ]
+            if not self._join(now, task, single, spec, able[task.job]):
                 stuck.add((task.job, single.fails))
-                self.loose.append(task)
+                loose.append(task)
 
-    def _join(self, now: Seconds, task: TaskRef, single: Single, usable: list[Machine]) -> bool:
+    def _join(
+        self, now: Seconds, task: TaskRef, single: Single, spec: JobSpec, able: list[Machine]
+    ) -> bool:
         """A single joins an idle slot, else a held one that it passes, else the shortest queue."""
-        spec = self._spec(task)
-        if spec is None:
-            return False
-        able = [m for m in usable if self._allowed(spec, m) and spec.size.fits(m.capacity)]
         if len(able) > SAMPLE:
             able = self.random.sample(able, SAMPLE)
+        size = spec.size
         best: tuple[tuple[float, ...], Machine] | None = None
+        fits: list[Machine] = []
         for machine in able:
             free = self._free_for(machine, spec)
-            if not spec.size.fits(free.minus(self._held_size(machine.id))):
+            if not size.fits(free):
+                continue
+            fits.append(machine)
+            if not size.fits(free.minus(self.held_size(machine.id))):
                 continue
             spare_gpus = machine.capacity.gpus if spec.gpus == 0 else 0.0
             key = (spare_gpus, 0.0 if spec.image in machine.images else 1.0, free.cpus)
             if best is None or key < best[0]:
                 best = (key, machine)
         if best is None:
-            for machine in able:
-                if spec.size.fits(self._free_for(machine, spec)) and self._passes(
-                    now, spec, machine
-                ):
+            for machine in fits:
+                if self._passes(now, spec, machine):
                     best = ((), machine)
                     break
         if best is not None:
-            slot = Slot(best[1].id)
-            slot.current = task
-            best[1].slots.append(slot)
-            single.state = ASSIGNED
-            single.machine = best[1].id
-            single.queue = slot
-            best[1].idle_since = now
+            machine = best[1]
+            slot = Slot(machine.id)
+            machine.slots.append(slot)
+            self._put_in(task, slot)
+            machine.idle_since = now
             return True
         queues = [s for m in able for s in m.slots if len(s.queue) < MAX_QUEUE]
         if not queues:
             return False
         shortest = min(queues, key=lambda s: len(s.queue))
-        shortest.queue.append(task)
+        self.queues.join(shortest, task)
         single.queue = shortest
         return True
 
@@ -704,22 +717,24 @@
 
     def remaining_wait(self, now: Seconds, job_id: JobId, hold: Hold) -> Seconds:
         """Time until the latest estimated end among the gang's held slots, at least zero."""
-        latest = 0.0
-        for machine_id in set(hold.places.values()):
-            machine = self.machines.get(machine_id)
-            if machine is not None:
-                latest = max(latest, self._room_in(now, machine))
-        return latest
+        if hold.wait[0] != now:
+            latest = 0.0
+            for machine_id in hold.on:
+                machine = self.machines.get(machine_id)
+                if machine is not None:
+                    latest = max(latest, self._room_in(now, machine))
+            hold.wait = (now, latest)
+        return hold.wait[1]
 
     def _room_in(self, now: Seconds, machine: Machine) -> Seconds:
         """Estimated time until all that is held on a machine is idle."""
-        need = self._held_size(machine.id)
-        room = self._free(machine)
+        need = self.held_size(machine.id)
+        room = self.free(machine)
         if need.fits(room):
             return 0.0
         ends = sorted(
-            (self._left(now, task, live), self._size(task))
-            for task, live in machine.live.items()
+            (self.left(now, live), live.size)
+            for live in machine.live.values()
             if live.stage != "exited"
         )
         for left, size in ends:
@@ -728,116 +743,147 @@
                 return left
         return ends[-1][0] if ends else 0.0
 
-    def _left(self, now: Seconds, task: TaskRef, live: Live) -> Seconds:
-        spec = self._spec(task)
-        if spec is None or live.stopped:
+    def left(self, now: Seconds, live: Live) -> Seconds:
+        """How much longer a task is estimated to run."""
+        if live.spec is None or live.stopped:
             return 0.0
-        estimate = self.estimates.run_time(spec)
+        estimate = self.estimates.run_time(live.spec)
         if live.running_at is None:
             return estimate
         return max(0.0, estimate - (now - live.running_at))
 
-    def _next(self, now: Seconds, machine: Machine, queue: deque[TaskRef]) -> TaskRef | None:
+    def expected_left(self, now: Seconds, live: Live) -> Seconds:
+        """The same where slots are chosen: what runs for longer than estimated goes on for a
+        while more often than it ends now."""
+        left = self.left(now, live)
+        if live.running_at is None or live.stopped:
+            return left
+        return max(left, OVERRUN * (now - live.running_at))
+
+    def _next(
+        self, now: Seconds, machine: Machine, queue: Iterable[TaskRef], refused: set[JobId]
+    ) -> TaskRef | None:
         """The first single of a queue that may start on this machine now, preferably one
-        whose image is there."""
+        whose image is there. `refused` gathers the jobs that find no room here: room only
+        shrinks while a report is answered."""
         cold: TaskRef | None = None
-        held = self._held_size(machine.id)
+        held: Size | None = None
+        fitting: set[JobId] = set()
         for task in queue:
+            if task.job in refused:
+                continue
             spec = self._spec(task)
             single = self._single(task)
             if spec is None or single is None or single.not_before > now:
                 continue
-            if not self._allowed(spec, machine):
-                continue
-            free = self._free_for(machine, spec)
-            if spec.size.fits(free.minus(held)) or (
-                spec.size.fits(free) and self._passes(now, spec, machine)
-            ):
-                if spec.image in machine.images:
-                    return task
-                cold = cold or task
+            if task.job not in fitting:
+                if not self._allowed(spec, machine):
+                    refused.add(task.job)
+                    continue
+                if held is None:
+                    held = self.held_size(machine.id)
+                free, size = self._free_for(machine, spec), spec.size
+                if not size.fits(free) or not (
+                    size.fits(free.minus(held)) or self._passes(now, spec, machine)
+                ):
+                    refused.add(task.job)
+                    continue
+                fitting.add(task.job)
+            if spec.image in machine.images:
+                return task
+            cold = cold or task
         return cold
 
     def _launches(self, now: Seconds, machine: Machine) -> list[Order]:
         orders = self._gang_launches(now, machine)
-        for slot in machine.slots:
-            if slot.current is None and slot.queue:
-                task = self._next(now, machine, slot.queue)
-                if task is not None:
-                    slot.queue.remove(task)
-                    self._put_in(task, slot)
-        self._steal(now, machine)
+        if self.free(machine).cpus > 1e-6:
+            refused: set[JobId] = set()
+            for slot in machine.slots:
+                if slot.current is None and slot.queue:
+                    task = self._next(now, machine, slot.queue, refused)
+                    if task is not None:
+                        self.queues.leave(slot, task)
+                        self._put_in(task, slot)
+            self._steal(now, machine, refused)
+        kept: list[Slot] = []
         for slot in machine.slots:
             task = slot.current
-            if task is None or task in machine.live:
-                continue
-            single = self._single(task)
-            if single is None or single.state != ASSIGNED:
-                slot.current = None
-                continue
-            orders.append(self._start(now, machine, task, self._new_attempt()))
-            single.state = ON
-            single.queue = None
-        for slot in machine.slots:
-            if slot.current is None:
-                for task in slot.queue:
-                    self._unqueue(task)
-        machine.slots = [s for s in machine.slots if s.current is not None]
+            if task is not None and task not in machine.live:
+                single = self._single(task)
+                if single is not None and single.state == ASSIGNED:
+                    orders.append(self._start(now, machine, task, self._new_attempt()))
+                    self._set(task, single, ON)
+                    single.queue = None
+                else:
+                    slot.current = None
+                    self._changed(machine)
+            if slot.current is not None:
+                kept.append(slot)
+            else:
+                for queued in self.queues.empty(slot):
+                    self._unqueue(queued)
+        machine.slots = kept
         return orders
 
     def _put_in(self, task: TaskRef, slot: Slot) -> None:
         single = self._single(task)
         assert single is not None
         slot.current = task
-        single.state = ASSIGNED
+        slot.size = self._size(task)
+        self._set(task, single, ASSIGNED)
         single.machine = slot.machine
         single.queue = slot
+        self._slot_changed(slot)
 
-    def _steal(self, now: Seconds, machine: Machine) -> None:
+    def _steal(self, now: Seconds, machine: Machine, refused: set[JobId]) -> None:
         """Room with a dry queue takes the last single of the part's longest queue."""
-        queues = [s.queue for m in self.machines.values() for s in m.slots if s.queue]
-        if self.loose:
-            queues.append(self.loose)
-        while queues:
-            longest = max(queues, key=len)
-            task = self._next(now, machine, deque(reversed(longest)))
-            if task is None:
-                queues.remove(longest)
-                continue
-            longest.remove(task)
-            if not longest:
-                queues.remove(longest)
-            slot = Slot(machine.id)
-            machine.slots.append(slot)
-            self._put_in(task, slot)
+        dry: set[Slot | None] = set()
+        while self.free(machine).cpus > 1e-6 and not self.queues.waiting_jobs() <= refused:
+            for source in self.queues.longest_first():
+                if source in dry:
+                    continue
+                queue = self.queues.loose if source is None else source.queue
+                task = self._next(now, machine, reversed(queue), refused)
+                if task is None:
+                    dry.add(source)
+                    continue
+                if source is None:
+                    queue.remove(task)
+                else:
+                    self.queues.leave(source, task)
+                slot = Slot(machine.id)
+                machine.slots.append(slot)
+                self._put_in(task, slot)
+                break
+            else:
+                return
 
     def _unqueue(self, task: TaskRef) -> None:
         single = self._single(task)
         if single is not None and single.state in (WAITING, ASSIGNED):
-            single.state = WAITING
+            self._set(task, single, WAITING)
             single.queue = None
             single.machine = None
-            self.loose.append(task)
+            self.queues.loose.append(task)
 
     def _requeue_slots(self, machine: Machine) -> None:
         """A machine takes no new work: what was only meant for it joins anew."""
         for slot in machine.slots:
-            for task in slot.queue:
+            for task in self.queues.empty(slot):
                 self._unqueue(task)
             if slot.current is not None and slot.current not in machine.live:
                 self._unqueue(slot.current)
         machine.slots = [s for s in machine.slots if s.current in machine.live]
-        for slot in machine.slots:
-            slot.queue.clear()
+        self._changed(machine)
 
     def _new_attempt(self) -> Attempt:
         self._attempts += 1
         return Attempt(self.token * PER_TOKEN + self._attempts)
 
     def _start(self, now: Seconds, machine: Machine, task: TaskRef, attempt: Attempt) -> Order:
-        machine.live[task] = Live(attempt, "fetching", now, True)
+        machine.live[task] = Live(attempt, "fetching", now, True, self._spec(task))
         machine.idle_since = now
-        self.dirty = True
+        self._changed(machine)
         log.debug(
             "event=launch task=%s/%d attempt=%d machine=%s",
             task.job, task.number, attempt, machine.id,
@@ -853,42 +899,38 @@
                 ) > (LONG_WAIT_S):
                     task = TaskRef(job_id, TaskIndex(index))
                     self._drop(task, single)
-                    single.state = RETURNED
-                    self.dirty = True
+                    self._set(task, single, RETURNED)
 
     # Gangs
 
-    def _check_holds(self, now: Seconds) -> None:
+    def _check_hold(self, now: Seconds, job_id: JobId, hold: Hold) -> None:
         """A gang whose held slots are all idle starts on all of them together."""
-        room: dict[MachineId, Size] = {}
-        for job_id, hold in self.holds.items():
-            if hold.ready or hold.bad or not self._gang_wanted(job_id):
-                continue
-            if any(self._useless(m) for m in hold.places.values()):
-                hold.bad = "machine leaves"
-                self.dirty = True
-                continue
-            need: dict[MachineId, Size] = {}
-            for index, machine_id in hold.places.items():
-                size = self._size(TaskRef(job_id, TaskIndex(index)))
-                need[machine_id] = need.get(machine_id, NOTHING).plus(size)
-            idle = True
-            for machine_id, size in need.items():
-                machine = self.machines.get(machine_id)
-                if machine is None:
-                    idle = False
-                    continue
-                free = room.get(machine_id)
-                if free is None:
-                    free = self._free(machine)
-                    for other_id, other, index in self._held_on(machine_id):
-                        if other.ready:
-                            free = free.minus(self._size(TaskRef(other_id, TaskIndex(index))))
-                idle = idle and size.fits(free)
-                room[machine_id] = free.minus(size)
-            if idle:
-                hold.ready = True
-                self.dirty = True
+        if hold.ready or hold.bad or not self._gang_wanted(job_id):
+            return
+        if any(self._useless(m) for m in hold.on):
+            hold.bad = "machine leaves"
+            self.dirty = True
+            return
+        each = self.mirror.jobs[job_id].size
+        for machine_id, indices in hold.on.items():
+            machine = self.machines.get(machine_id)
+            if machine is None:
+                return
+            room = self.free(machine)
+            # Slots are promised to gangs that are about to start, and to older holds.
+            older = True
+            for other_id, other in self._holds_on[machine_id].items():
+                if other is hold:
+                    older = False
+                elif (older or other.ready) and not other.bad and self._gang_wanted(other_id):
+                    size = self.mirror.jobs[other_id].size
+                    room = room.minus(
+                        size.times(sum(i not in other.launched for i in other.on[machine_id]))
+                    )
+            if not each.times(len(indices)).fits(room):
+                return
+        hold.ready = True
+        self.dirty = True
 
     def _useless(self, machine_id: MachineId) -> bool:
         record = self.mirror.machines.get(machine_id)
@@ -948,13 +990,13 @@
             job = self.mirror.jobs.get(job_id)
             if not hold.preempt or hold.ready or job is None:
                 continue
-            room = self._free(machine)
-            for task, live in machine.live.items():
+            room = self.free(machine)
+            for live in machine.live.values():
                 if live.stopped and live.stage != "exited":
-                    room = room.plus(self._size(task))
+                    room = room.plus(live.size)
             for task in stop:
                 room = room.plus(self._size(task))
-            need = self._held_size(machine.id)
+            need = self.held_size(machine.id)
             victims = sorted(
                 (
                     (spec.rank, -live.since, task)
@@ -973,13 +1015,24 @@
 
     # What the leader is told
 
-    def _maybe_there(self, job_id: JobId) -> bool:
-        """Whether a task of this job may be on a machine of this part."""
-        if self.unheard:
-            return True
-        return any(t.job == job_id for m in self.machines.values() for t in m.live)
+    def status(self, now: Seconds, base: int = 0) -> dict[str, Any]:
+        """What the leader needs to know of this part, if it has the status numbered `base`."""
+        self.dirty = False
+        return full_status(self, now, base)
+
+    def clear_jobs(self) -> list[JobId]:
+        """Jobs that are over, have grants here, and of which nothing is on a machine."""
+        over = [
+            job_id
+            for job_id, job in self.mirror.each_live()
+            if not job.open and self.zone in job.grants
+        ]
+        if not over or self.unheard:
+            return []
+        there = {t.job for m in self.machines.values() for t in m.live}
+        return [job_id for job_id in over if job_id not in there]
 
-    def _gang_state(self, job_id: JobId, hold: Hold) -> str:
+    def gang_state(self, job_id: JobId, hold: Hold) -> str:
         job = self.mirror.jobs.get(job_id)
         # Of a cancelled gang nobody wants the result; what counts is that it is gone. Else it
         # would count against its team's limit for ever.
@@ -989,7 +1042,7 @@
             return "busy" if self._gang_there(job_id, hold) else "clear"
         if hold.bad:
             return "bad"
-        if any(self._leaving(m) for m in hold.places.values()):
+        if any(self._leaving(m) for m in hold.on):
             return "bad"
         if hold.launched >= hold.places.keys():
             return "on"
@@ -1000,7 +1053,7 @@
         return machine is not None and machine.notice is not None
 
     def _gang_there(self, job_id: JobId, hold: Hold) -> bool:
-        for machine_id in set(hold.places.values()):
+        for machine_id in hold.on:
             if machine_id not in self.mirror.machines:
                 continue
             if machine_id in self.unheard:
@@ -1010,33 +1063,7 @@
                 return True
         return False
 
-    def _machine_status(self, now: Seconds, machine: Machine) -> dict[str, Any]:
-        held = self._held_size(machine.id)
-        ends = []
-        for task, live in machine.live.items():
-            if live.stage == "exited":
-                continue
-            spec = self._spec(task)
-            if spec is not None and not spec.gang:
-                left = self._left(now, task, live)
-                ends.append((round(left, 1), *spec.size, spec.rank))
-        return {
-            "free": tuple(self._free(machine).minus(held)),
-            "ends": sorted(ends),
-            "images": list(machine.images),
-            "queued": sum(len(s.queue) for s in machine.slots),
-            "usable": self._usable(now, machine),
-            "heard": machine.heard,
-            "silent": round(now - max(machine.last, self.started), 1),
-            "idle": round(now - machine.idle_since, 1)
-            if not machine.live and not machine.slots
-            else 0.0,
-            "leaving": machine.notice is not None or machine.slow,
-            "faulty": self.faulty(now, machine),
-            "wanted_gone": self._cancelled_there(machine),
-        }
-
-    def _cancelled_there(self, machine: Machine) -> bool:
+    def cancelled_there(self, machine: Machine) -> bool:
         """Whether a task of a cancelled job is, or may be, on this machine."""
         for task, live in machine.live.items():
             job = self.mirror.jobs.get(task.job)
@@ -1049,60 +1076,6 @@
             for _, job in self.mirror.each_live()
         )
 
-    def status(self, now: Seconds) -> dict[str, Any]:
-        """What the leader needs to know of this part: a state, not a change."""
-        self.dirty = False
-        jobs: dict[str, Any] = {}
-        for job_id, singles in self.singles.items():
-            placed = running = 0
-            done, returned = [], []
-            for index, single in singles.items():
-                if single.state in (ON, ASSIGNED):
-                    placed += 1
-                    running += single.state == ON
-                elif single.state == FINISHED:
-                    done.append(index)
-                elif single.state == RETURNED:
-                    returned.append(index)
-            jobs[job_id] = {
-                "placed": placed,
-                "running": running,
-                "done": done,
-                "returned": returned,
-                "version": self.mirror.jobs[job_id].version,
-            }
-        clear = [
-            job_id
-            for job_id, job in self.mirror.each_live()
-            if not job.open and self.zone in job.grants and not self._maybe_there(job_id)
-        ]
-        return {
-            "kind": "part",
-            "zone": self.zone,
-            "token": self.token,
-            "seen": self.mirror.revision,
-            "machines": {
-                m.id: self._machine_status(now, m)
-                for m in self.machines.values()
-                if m.id in self.mirror.machines
-            },
-            "jobs": jobs,
-            "gangs": {
-                job_id: (
-                    hold.attempt,
-                    self._gang_state(job_id, hold),
-                    round(self.remaining_wait(now, job_id, hold), 1) if not hold.ready else 0.0,
-                )
-                for job_id, hold in self.holds.items()
-            },
-            "clear": clear,
-            "unheard": len(self.unheard),
-            "strangers": {
-                m: (r.type, r.zone, r.spot, r.address) for m, r in self.strangers.items()
-            },
-            "estimates": self.estimates.dump(),
-        }
-
     def running(self) -> Iterator[tuple[JobId, int]]:
         """Jobs with tasks on machines here, for display."""
         counts: dict[JobId, int] = {}
--- /dev/null
+++ b/src/dapplewick/core/part_status.py
@@ -0,0 +1,171 @@
+"""What a part tells the leader: what changed since the last status that the leader has."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Any, TypeVar
+
+from dapplewick.core.model import GANG_RANK
+from dapplewick.core.part_state import ASSIGNED, FINISHED, ON, RETURNED, Hold, Machine
+from dapplewick.types import JobId, MachineId, Seconds
+
+if TYPE_CHECKING:
+    from dapplewick.core.part import PartCore
+
+QUIET_S = 4.0  # a machine that was silent for longer is named in each status
+WAIT_S = 1.0  # the remaining wait of a held gang is counted anew after this time
+
+K = TypeVar("K", MachineId, JobId)
+
+
+class Touched:
+    """The number of the status in which each machine, job and gang changed last.
+
+    A status tells all that changed after a number that the leader has confirmed, so one that
+    is lost costs nothing: the next starts from the same number.
+    """
+
+    def __init__(self) -> None:
+        self.number = 1
+        self.machines: dict[MachineId, int] = {}
+        self.jobs: dict[JobId, int] = {}
+        self.gangs: dict[JobId, int] = {}
+        self.gang_said: dict[JobId, tuple[int, str, float]] = {}
+
+    def machine(self, machine_id: MachineId) -> None:
+        self.machines[machine_id] = self.number
+
+    def job(self, job_id: JobId) -> None:
+        self.jobs[job_id] = self.number
+
+    def gang(self, job_id: JobId) -> None:
+        self.gangs[job_id] = self.number
+
+
+def _since(numbers: dict[K, int], base: int) -> list[K]:
+    return [key for key, number in numbers.items() if number > base]
+
+
+def _forget(numbers: dict[K, int], there: Any, base: int) -> None:
+    """What is gone, and known by the leader to be, needs no mention any more."""
+    for key in [k for k, number in numbers.items() if number <= base and k not in there]:
+        del numbers[key]
+
+
+def full_status(core: PartCore, now: Seconds, base: int) -> dict[str, Any]:
+    """All that changed after the status with number `base`; everything if that is 0."""
+    touched = core.touched
+    _touch_gangs(core, now)
+    known = core.mirror.machines
+    machines = {
+        m: _machine(core, now, core.machines[m]) if m in core.machines and m in known else None
+        for m in _since(touched.machines, base)
+    }
+    jobs = {j: _job(core, j) if j in core.singles else None for j in _since(touched.jobs, base)}
+    gangs = {j: touched.gang_said.get(j) for j in _since(touched.gangs, base)}
+    _forget(touched.machines, core.machines, base)
+    _forget(touched.jobs, core.singles, base)
+    _forget(touched.gangs, core.holds, base)
+    number = touched.number
+    touched.number += 1
+    silent: dict[MachineId, tuple[float, bool]] = {}
+    idle: dict[MachineId, float] = {}
+    heard_ago = -1.0
+    for m in core.machines.values():
+        record = known.get(m.id)
+        if record is None:
+            continue
+        quiet = now - max(m.last, core.started)
+        if quiet > QUIET_S:
+            silent[m.id] = (round(quiet, 1), core.cancelled_there(m))
+        if record.up and not record.doomed and (heard_ago < 0.0 or quiet < heard_ago):
+            heard_ago = quiet
+        if not m.live and not m.slots and now - m.idle_since > 1.0:
+            idle[m.id] = round(now - m.idle_since, 1)
+    return {
+        "kind": "part",
+        "zone": core.zone,
+        "token": core.token,
+        "number": number,
+        "base": base,
+        "at": now,
+        "seen": core.mirror.revision,
+        "machines": machines,
+        "jobs": jobs,
+        "gangs": gangs,
+        "silent": silent,
+        "idle": idle,
+        "heard_ago": round(heard_ago, 1),
+        "clear": core.clear_jobs(),
+        "unheard": len(core.unheard),
+        "strangers": {m: (r.type, r.zone, r.spot, r.address) for m, r in core.strangers.items()},
+        "estimates": core.estimates.dump(),
+    }
+
+
+def _machine(core: PartCore, now: Seconds, machine: Machine) -> dict[str, Any]:
+    ends = [
+        (
+            round(now + core.expected_left(now, live), 1),
+            *live.size,
+            GANG_RANK if live.spec.gang else live.spec.rank,
+        )
+        for live in machine.live.values()
+        if live.stage != "exited" and live.spec is not None
+    ]
+    ends.sort()
+    return {
+        "free": tuple(core.free(machine).minus(core.held_size(machine.id))),
+        "ends": ends,
+        "images": list(machine.images),
+        "queued": sum(len(s.queue) for s in machine.slots),
+        "usable": machine.was_usable,
+        "heard": machine.heard,
+        "leaving": machine.notice is not None or machine.slow,
+        "faulty": core.faulty(now, machine),
+    }
+
+
+def _job(core: PartCore, job_id: JobId) -> dict[str, Any]:
+    placed = running = 0
+    done, returned = [], []
+    for index, single in core.singles[job_id].items():
+        state = single.state
+        if state == ON:
+            placed += 1
+            running += 1
+        elif state == ASSIGNED:
+            placed += 1
+        elif state == FINISHED:
+            done.append(index)
+        elif state == RETURNED:
+            returned.append(index)
+    return {
+        "placed": placed,
+        "running": running,
+        "done": done,
+        "returned": returned,
+        "version": core.mirror.jobs[job_id].version,
+    }
+
+
+def _touch_gangs(core: PartCore, now: Seconds) -> None:
+    """Gangs change with much that happens elsewhere; there are few, so all are compared."""
+    touched = core.touched
+    for job_id in [j for j in touched.gang_said if j not in core.holds]:
+        del touched.gang_said[job_id]
+        touched.gang(job_id)
+    for job_id, hold in core.holds.items():
+        state = core.gang_state(job_id, hold)
+        said = (hold.attempt, state, _wait(core, now, job_id, hold, state))
+        if touched.gang_said.get(job_id) != said:
+            touched.gang_said[job_id] = said
+            touched.gang(job_id)
+
+
+def _wait(core: PartCore, now: Seconds, job_id: JobId, hold: Hold, state: str) -> float:
+    if state != "held" or hold.ready:
+        return 0.0
+    at, wait = hold.wait
+    if now - at > WAIT_S:
+        wait = core.remaining_wait(now, job_id, hold)
+    return round(wait, 1)
--- /dev/null
+++ b/src/dapplewick/core/placing.py
@@ -0,0 +1,71 @@
+"""Where a waiting gang goes: the design's second point, over the leader's picture of the parts."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+
+from dapplewick.core.model import PartRooms, View, fit_all, fit_held, shape_of
+from dapplewick.protocol.wire import JobSpec
+from dapplewick.types import Seconds
+
+LONG_HOLD_S = 10.0  # gangs that hold slots for longer want more machines
+
+
+def place_gang(
+    spec: JobSpec, parts: Iterable[PartRooms], limit: Seconds, patience: Seconds
+) -> tuple[list[View], bool] | None:
+    """Machines for a gang's tasks, and whether singles of lower priority stop for it: one
+    part's idle slots, else slots of one part to be held, else idle slots of several parts.
+
+    Counts come first, and they are kept for gangs that are alike; machines are chosen only
+    once it is known that there are enough.
+    """
+    parts, count, shape = list(parts), spec.tasks, shape_of(spec)
+    one_part = spec.zone_cap >= count
+    if one_part:
+        best: tuple[float, list[View]] | None = None
+        for part in parts:
+            if part.idle(spec, shape) < count:
+                continue
+            chosen = fit_all(part.candidates(spec), spec, count)
+            if chosen is not None:
+                spare = sum(v.capacity.gpus for v in chosen) if spec.gpus == 0 else 0.0
+                if best is None or spare < best[0]:
+                    best = (spare, chosen)
+        if best is not None:
+            return best[1], False
+        held = _held(spec, parts, limit, patience)
+        if held is not None:
+            return held
+    if spec.one_zone or sum(min(part.idle(spec, shape), spec.zone_cap) for part in parts) < count:
+        return None
+    spanning: list[View] = []
+    for part in sorted(parts, key=lambda p: -p.idle(spec, shape)):
+        most = min(count - len(spanning), spec.zone_cap, part.idle(spec, shape))
+        if most > 0:
+            spanning += fit_all(part.candidates(spec), spec, most) or []
+        if len(spanning) == count:
+            return spanning, False
+    return None
+
+
+def _held(
+    spec: JobSpec, parts: list[PartRooms], limit: Seconds, patience: Seconds
+) -> tuple[list[View], bool] | None:
+    # Slots behind long work are no place to wait: those that are idle already would stay so.
+    shape = shape_of(spec)
+    best: tuple[float, list[View], bool] | None = None
+    for part in parts:
+        if part.held(spec, shape, limit) < spec.tasks:
+            continue
+        option = fit_held(part.views, spec, spec.tasks, patience, limit)
+        if option is None:
+            continue
+        wait = 0.0
+        for view in option[0]:
+            times = view.room_in(spec)
+            if times is not None:
+                wait = max(wait, times[1] if option[1] else times[0])
+        if best is None or wait < best[0]:
+            best = (wait, option[0], option[1])
+    return (best[1], best[2]) if best is not None else None
--- a/src/dapplewick/node.py
+++ b/src/dapplewick/node.py
@@ -15,7 +15,8 @@
 from dapplewick.config import Settings, host_port
 from dapplewick.coordination.parts import PartAssigner
 from dapplewick.core.estimates import Estimates
-from dapplewick.core.leader import Change, LeaderCore
+from dapplewick.core.leader import LeaderCore
+from dapplewick.core.machines import Change
 from dapplewick.core.part import PartCore
 from dapplewick.metrics import Latencies
 from dapplewick.protocol import wire
@@ -32,7 +33,6 @@
 from dapplewick.storage.records import (
     JOBS,
     LEADER,
-    MACHINES,
     NODES,
     PARTS,
     ROOT,
@@ -41,7 +41,7 @@
 from dapplewick.transport.http import Answer, HttpClient, HttpError, Request, serve_connection
 from dapplewick.transport.peer import PeerLink, receive_frames
 from dapplewick.tuning import Tuning
-from dapplewick.types import JobId, MachineId, NodeName, Seconds, Token, Zone
+from dapplewick.types import JobId, MachineId, NodeName, Revision, Seconds, Token, Zone
 
 log = logging.getLogger("dapplewick.node")
 
@@ -62,6 +62,8 @@
 CLOUD_CALL_S = 6.0
 SHARE = 0.9  # of the state service's limits that all controllers use together
 LEADER_WRITES = 0.6
+WATCH_SHARE = 0.35  # of this node's requests: a watch is opened anew after each change
+REST = 1.0  # after a pass the leader leaves the processor alone for this times as long
 
 
 class Check:
@@ -100,6 +102,7 @@
         self._many_writes = writes * LEADER_WRITES
         self.state = StateClient(connect(host, port), rps, self._few_writes)
         self._check_gap = 1.0 / (0.4 * rps)
+        self._watch_gap = 1.0 / (WATCH_SHARE * rps)
         host, port = host_port(settings.outside.cloud, "outside.cloud")
         self.cloud = connect(host, port)
         self.cloud_budget = Budget(deployment.cloud.rps * 0.8)
@@ -127,7 +130,10 @@
         self._next_check: Check | None = None
         self._check_wake = anyio.Event()
         self._leader_wake = anyio.Event()
+        self._pass_took = 0.0
         self._status_at: dict[Zone, Seconds] = {}
+        # Up to which status of which part's owner the leader (a boot of a node) has them.
+        self._confirmed: dict[Zone, tuple[Token, str, int]] = {}
         self._renting: set[str] = set()
         self._deleting: set[MachineId] = set()
 
@@ -150,6 +156,7 @@
         if not self._changed:
             return
         keys, self._changed = dict.fromkeys(self._changed), []
+        machines, self.mirror.changed_machines = dict.fromkeys(self.mirror.changed_machines), []
         now = self.now()
         if any(k.startswith(PARTS) for k in keys):
             self._check_parts(now)
@@ -157,8 +164,8 @@
             for key in keys:
                 if key.startswith(JOBS):
                     core.job_changed(now, JobId(key[len(JOBS) :]))
-                elif key.startswith(MACHINES):
-                    core.machine_changed(now, MachineId(key[len(MACHINES) :]))
+            for machine in machines:
+                core.machine_changed(now, machine)
         self._leader_wake.set()
 
     def _check_parts(self, now: Seconds) -> None:
@@ -205,7 +212,7 @@
             elif event.delete is not None:
                 self.mirror.remove(event.delete, event.version)
         if changes.revision > self.mirror.revision:
-            self.mirror.revision = type(self.mirror.revision)(changes.revision)
+            self.mirror.revision = Revision(changes.revision)
         self.current_at = max(self.current_at, sent)
         self.contact_at = self.now()
         self._apply_changed()
@@ -216,6 +223,8 @@
                 if not self.ready:
                     await self._load()
                 await self._follow(WATCH_MS)
+                # What changes meanwhile comes with the next answer, in one request.
+                await anyio.sleep(self._watch_gap)
             except (Refused, Unknown) as err:
                 log.debug("event=watch_failed error=%s", err)
                 await anyio.sleep(0.2 + self.random.random() * 0.3)
@@ -324,7 +333,7 @@
             with anyio.move_on_after(0.5 if self.leader is not None else 0.3):
                 self._leader_wake = anyio.Event()
                 await self._leader_wake.wait()
-            await anyio.sleep(PASS_S)
+            await anyio.sleep(max(PASS_S, REST * self._pass_took))
 
     def _step_down(self) -> None:
         log.info("event=leader_lost node=%s", self.me)
@@ -345,12 +354,21 @@
             key = PARTS + zone
             value = {"owner": part.owner, "boot": part.boot}
             await self._write([Change(key, value, self.mirror.version(key), 0)])
-        for core in self.cores.values():
-            self.leader.part_status(now, core.status(now))
+        for zone, core in self.cores.items():
+            number = self.leader.part_status(now, core.status(now, self._base(zone, core)))
+            self._confirm(zone, core.token, self.boot, number)
         changes = self.leader.plan(now, self.wall())
+        self._pass_took = self.now() - now
+        # What the budget does not allow is found again by the next pass, or overtaken by more.
+        room = int(self.state.writes.level())
+        if room < len(changes):
+            log.debug("event=writes_put_off count=%d", len(changes) - room)
+            changes = changes[:room]
         most = max(1, self.settings.deployment.state.txn_ops)
         for start in range(0, len(changes), most):
-            await self._write(changes[start : start + most])
+            batch = changes[start : start + most]
+            await self._write(batch)
+            self.leader.written(now, batch)
 
     async def _write(self, changes: list[Change]) -> None:
         """Write records as the leader: only as long as the epoch and the records still hold."""
@@ -396,7 +414,7 @@
                 doomed = [
                     m
                     for m, r in self.mirror.machines.items()
-                    if r.doomed and m not in leader.deleted and m not in self._deleting
+                    if r.doomed and m not in leader.book.deleted and m not in self._deleting
                 ][:100]
                 if doomed and self.cloud_budget.take():
                     self._deleting.update(doomed)
@@ -500,7 +518,19 @@
         record = self.mirror.leader
         link = self.links.get(NodeName(record.node)) if record is not None else None
         if link is not None:
-            link.post(f"part:{core.zone}", core.status(now))
+            status = core.status(now, self._base(core.zone, core))
+            link.post(f"part:{core.zone}", {**status, "node": self.me})
+
+    def _base(self, zone: Zone, core: PartCore) -> int:
+        """The newest of a part's statuses that the present leader has confirmed."""
+        token, boot, number = self._confirmed.get(zone, (Token(0), "", 0))
+        leader = self.mirror.leader
+        same = token == core.token and leader is not None and leader.boot == boot
+        return number if same else 0
+
+    def _confirm(self, zone: Zone, token: Token, boot: str, number: int) -> None:
+        """A leader has this part's statuses up to a number; another life of it has none."""
+        self._confirmed[zone] = (token, boot, number)
 
     async def _gossip_loop(self) -> None:
         while True:
@@ -559,8 +589,20 @@
             return node_status(self)
         if kind == "part":
             if self.leader is not None:
-                self.leader.part_status(self.now(), message)
+                number = self.leader.part_status(self.now(), message)
                 self._leader_wake.set()
+                link = self.links.get(NodeName(str(message["node"])))
+                if link is not None:
+                    zone = str(message["zone"])
+                    link.post(f"have:{zone}", {
+                        "kind": "have", "zone": zone, "token": message["token"],
+                        "boot": self.boot, "number": number,
+                    })  # fmt: skip
+        elif kind == "have":
+            self._confirm(
+                Zone(message["zone"]), Token(message["token"]), str(message["boot"]),
+                int(message["number"]),
+            )  # fmt: skip
         elif kind == "node":
             node = NodeName(message["node"])
             self._peer_state[node] = (self.now(), bool(message["state"]))
--- a/src/dapplewick/status.py
+++ b/src/dapplewick/status.py
@@ -51,10 +51,11 @@
 def _part(now: Seconds, core: PartCore) -> dict[str, Any]:
     status = core.status(now)
     core.dirty = True
+    loose = len(core.queues.loose)
     return {
         "token": core.token,
         "unheard": status["unheard"],
-        "loose": len(core.loose),
+        "loose": loose,
         "machines": {
             name: {
                 "type": core.machines[name].type,
@@ -62,12 +63,15 @@
                 "slots": len(core.machines[name].slots),
                 "queued": body["queued"],
                 "free": body["free"],
-                "silent": body["silent"],
+                "silent": round(now - core.machines[name].last, 1),
             }
             for name, body in status["machines"].items()
+            if body is not None
         },
         "held": {
             job: {"attempt": attempt, "state": state, "wait_s": wait}
-            for job, (attempt, state, wait) in status["gangs"].items()
+            for job, gang in status["gangs"].items()
+            if gang is not None
+            for attempt, state, wait in [gang]
         },
     }
--- a/src/dapplewick/storage/records.py
+++ b/src/dapplewick/storage/records.py
@@ -50,10 +50,11 @@
 class JobRecord:
     """A job: what was asked, what is done, and who may run what."""
 
-    __slots__ = ("at", "done", "gang", "grants", "spec", "stage", "version")
+    __slots__ = ("at", "done", "gang", "grants", "size", "spec", "stage", "version")
 
     def __init__(self, spec: JobSpec, at: float) -> None:
         self.spec = spec
+        self.size = spec.size  # of each task
         self.stage = OPEN
         self.at = at
         self.done: set[int] = set()
@@ -96,8 +97,9 @@
 
 
 class MachineRecord(msgspec.Struct, omit_defaults=True):
-    """A machine. `up`: its worker was heard, so launches there are allowed from now on.
-    `doomed`: its deletion is decided and is never taken back."""
+    """A machine, as its group's record tells it. `up`: its worker was heard, so launches there
+    are allowed from now on (one that is doomed counts as up: it may have been). `doomed`: its
+    deletion is decided and is never taken back."""
 
     type: str
     zone: str
@@ -105,7 +107,27 @@
     at: float
     up: bool = False
     doomed: bool = False
-    address: str = ""
+
+
+BOOTING, UP, DOOMED = "b", "u", "d"
+
+
+class GroupRecord(msgspec.Struct):
+    """The machines of one rental, in one record: a write for each change of each machine would
+    use up the state service's budget while hundreds of them come up."""
+
+    type: str
+    zone: str
+    spot: bool
+    at: float
+    machines: dict[str, str]  # machine -> booting, up or doomed
+
+    def record(self, machine: str) -> MachineRecord:
+        state = self.machines[machine]
+        return MachineRecord(
+            type=self.type, zone=self.zone, spot=self.spot, at=self.at,
+            up=state != BOOTING, doomed=state == DOOMED,
+        )  # fmt: skip
 
 
 class PartRecord(msgspec.Struct):
@@ -139,12 +161,15 @@
         self.versions: dict[str, int] = {}
         self.jobs: dict[JobId, JobRecord] = {}
         self.machines: dict[MachineId, MachineRecord] = {}
+        self.groups: dict[str, GroupRecord] = {}
+        self.group_of: dict[MachineId, str] = {}
         self.parts: dict[Zone, PartRecord] = {}
         self.nodes: dict[NodeName, NodeRecord] = {}
         self.bookings: dict[str, BookingRecord] = {}
         self.leader: LeaderRecord | None = None
         self.types: dict[str, MachineType] = {}
         self.live_jobs: set[JobId] = set()
+        self.changed_machines: list[MachineId] = []  # taken by whoever tells the cores
         self._gone: dict[str, int] = {}
         self.listeners: list[Callable[[str], None]] = []
 
@@ -183,7 +208,7 @@
             else:
                 self.live_jobs.discard(JobId(name))
         elif key.startswith(MACHINES):
-            self.machines[MachineId(name)] = msgspec.convert(value, type=MachineRecord)
+            self._set_group(name, msgspec.convert(value, type=GroupRecord))
         elif key.startswith(PARTS):
             self.parts[Zone(name)] = msgspec.convert(value, type=PartRecord)
         elif key.startswith(NODES):
@@ -195,6 +220,27 @@
         elif key == TYPES:
             self.types = {t.name: t for t in parse_types(value)}
 
+    def _set_group(self, name: str, group: GroupRecord | None) -> None:
+        """A group's record has changed; says of each of its machines that is new, different or
+        gone."""
+        old = self.groups.pop(name, None)
+        if group is not None:
+            self.groups[name] = group
+        before = old.machines if old is not None else {}
+        after = group.machines if group is not None else {}
+        for machine in [m for m in before if m not in after]:
+            if self.group_of.get(MachineId(machine)) == name:
+                del self.group_of[MachineId(machine)]
+                self.machines.pop(MachineId(machine), None)
+        for machine, state in after.items():
+            if before.get(machine) != state:
+                assert group is not None
+                self.machines[MachineId(machine)] = group.record(machine)
+                self.group_of[MachineId(machine)] = name
+        for machine in {**before, **after}:
+            if before.get(machine) != after.get(machine):
+                self.changed_machines.append(MachineId(machine))
+
     def _remove(self, key: str, version: int) -> None:
         self.versions.pop(key, None)
         self._gone[key] = version
@@ -206,7 +252,7 @@
             self.jobs.pop(JobId(name), None)
             self.live_jobs.discard(JobId(name))
         elif key.startswith(MACHINES):
-            self.machines.pop(MachineId(name), None)
+            self._set_group(name, None)
         elif key.startswith(PARTS):
             self.parts.pop(Zone(name), None)
         elif key.startswith(NODES):
--- a/src/dapplewick/types.py
+++ b/src/dapplewick/types.py
@@ -40,6 +40,9 @@
     def minus(self, other: Size) -> Size:
         return Size(self.cpus - other.cpus, self.gpus - other.gpus, self.ram - other.ram)
 
+    def times(self, count: int) -> Size:
+        return Size(self.cpus * count, self.gpus * count, self.ram * count)
+
     def fits(self, room: Size) -> bool:
         """Whether this size fits into the room (with an allowance for rounding)."""
         return (
--- a/tests/test_four_points.py
+++ b/tests/test_four_points.py
@@ -9,7 +9,7 @@
 
 from dapplewick.core.estimates import Estimates
 from dapplewick.core.fleet import Fleet, Need
-from dapplewick.core.model import View, fit_all
+from dapplewick.core.model import PartRooms, View, fit_all
 from dapplewick.core.part import PartCore
 from dapplewick.protocol.wire import JobSpec, MachineType, Order, Report, TaskReport, types_value
 from dapplewick.storage.ranges import pack, unpack
@@ -59,6 +59,11 @@
     )
 
 
+def group(name: str) -> dict[str, object]:
+    """The record of a machine that is up."""
+    return {"type": "k", "zone": "a", "spot": False, "at": 0.0, "machines": {name: "u"}}
+
+
 class Bench:
     """A part on four-CPU machines, its records, and its workers."""
 
@@ -68,8 +73,7 @@
         self.put(TYPES, types_value([KIND]))
         self.names = [MachineId(f"vm-{i}") for i in range(machines)]
         for name in self.names:
-            record = {"type": "k", "zone": "a", "spot": False, "at": 0.0, "up": True}
-            self.put(MACHINES + name, record)
+            self.put(MACHINES + name, group(name))
         self.core = PartCore(
             ZONE, TOKEN, self.mirror, Estimates(), 0.0, tuning=Tuning(threshold_s=threshold), seed=1
         )
@@ -243,12 +247,10 @@
     core = LeaderCore(mirror, standins.settings("n0"), Estimates(), Token(9), 0.0)
     machines = {}
     for n in range(idle):
-        record = {"type": "k", "zone": "a", "spot": False, "at": 0.0, "up": True}
-        mirror.put(f"dw/m/vm-{n}", record, 10 + n)
+        mirror.put(f"dw/m/vm-{n}", group(f"vm-{n}"), 10 + n)
         machines[f"vm-{n}"] = {
             "free": (4.0, 0.0, 64.0), "ends": [], "queued": 0, "usable": True, "heard": True,
-            "silent": 0.0, "idle": 0.0, "leaving": False, "faulty": False, "wanted_gone": False,
-            "images": [],
+            "leaving": False, "faulty": False, "images": [],
         }  # fmt: skip
     gangs = [(tasks, float(n)) for n, tasks in enumerate(sizes)]
     for n, (tasks, at) in enumerate(gangs):
@@ -256,8 +258,9 @@
     core.part_status(
         1.0,
         {
-            "zone": "a", "token": 2, "seen": 500, "machines": machines, "jobs": {}, "gangs": {},
-            "clear": [], "strangers": {}, "estimates": {}, "unheard": 0,
+            "zone": "a", "token": 2, "number": 1, "base": 0, "at": 1.0, "seen": 500,
+            "machines": machines, "jobs": {}, "gangs": {}, "silent": {}, "idle": {},
+            "heard_ago": 0.0, "clear": [], "strangers": {}, "estimates": {}, "unheard": 0,
         },
     )  # fmt: skip
     placed = {
@@ -303,8 +306,12 @@
     fleet = Fleet(mirror, ["a"], 1)
     gang = spec(2, 4.0, 10.0, True)
     needs = [Need(gang, 2, True)]
-    assert fleet.rent(0.0, 0.0, needs, [view("x", 4.0), view("y", 4.0)]) == ([], [])
-    bookings, unmet = fleet.rent(0.0, 0.0, needs, [view("x", 4.0)])
+
+    def rooms(*names: str) -> list[PartRooms]:
+        return [PartRooms(ZONE, [view(name, 4.0) for name in names])]
+
+    assert fleet.rent(0.0, 0.0, needs, rooms("x", "y")) == ([], [])
+    bookings, unmet = fleet.rent(0.0, 0.0, needs, rooms("x"))
     assert [(b.type, b.count) for b in bookings] == [("k", 1)]
     assert unmet == []
 
@@ -426,6 +433,7 @@
             bench.report(name, at + late, done)
             bench.store(done, at + late)
         at += 30.0
+        bench.core.tick(at)
     assert bench.core.machines[slow].slow
     assert sum(m.slow for m in bench.core.machines.values()) == 1
     assert bench.core.status(at)["machines"][slow]["usable"] is False
--- /dev/null
+++ b/tests/test_growth.py
@@ -0,0 +1,144 @@
+"""Work is counted, not timed: what a report, a status and a pass cost as a deployment grows.
+
+A count is the number of function calls that Python makes, which repeats exactly.
+"""
+
+from __future__ import annotations
+
+import sys
+from collections.abc import Callable
+from typing import Any
+
+import cbor2
+
+import standins
+from dapplewick.core.estimates import Estimates
+from dapplewick.core.leader import LeaderCore
+from dapplewick.protocol.wire import types_value
+from dapplewick.storage.records import TYPES, JobRecord, Mirror
+from dapplewick.types import Token
+from test_four_points import KIND, Bench, spec
+
+
+def calls(work: Callable[[], Any]) -> int:
+    """How many function calls some work makes."""
+    count = 0
+
+    def step(frame: Any, event: str, argument: Any) -> None:
+        nonlocal count
+        count += event in ("call", "c_call")
+
+    sys.setprofile(step)
+    try:
+        work()
+    finally:
+        sys.setprofile(None)
+    return count
+
+
+def busy_part(machines: int) -> Bench:
+    """A part whose machines are all full, with queues and gangs that hold slots."""
+    bench = Bench(machines)
+    for name in bench.names:
+        bench.report(name, 0.0)
+    for n in range(machines // 10):
+        bench.grant(f"run-{n}", spec(50, 1.0, 30.0), 0.0)
+    for _ in range(2):
+        for name in bench.names:
+            bench.report(name, 1.0)
+        bench.core.tick(1.0)
+    for n in range(machines // 20):
+        places = bench.names[n * 10 : n * 10 + 5]
+        bench.hold(f"run-g{n}", spec(5, 4.0, 30.0, gang=True), places, 1.5)
+    bench.core.tick(2.5)
+    return bench
+
+
+def report_cost(bench: Bench) -> int:
+    name = bench.names[-1]
+    task = next(iter(bench.on[name]))
+    return calls(lambda: bench.report(name, 3.0, {task}))
+
+
+def test_a_report_costs_what_its_machine_holds_not_what_the_part_does() -> None:
+    small, large = (report_cost(busy_part(n)) for n in (40, 400))
+    assert large < 1.5 * small + 50
+
+
+def test_a_status_tells_only_what_changed_since_the_confirmed_one() -> None:
+    def size(machines: int) -> tuple[int, int]:
+        bench = busy_part(machines)
+        first = bench.core.status(3.0)
+        name = bench.names[-1]
+        bench.report(name, 3.5, {next(iter(bench.on[name]))})
+        second = bench.core.status(4.0, first["number"])
+        assert set(second["machines"]) == {name}
+        return len(cbor2.dumps(first)), len(cbor2.dumps(second))
+
+    (small_full, small), (large_full, large) = size(40), size(400)
+    assert large_full > 5 * small_full
+    assert large < small + 500
+
+
+def test_a_lost_status_is_made_up_for_by_the_next() -> None:
+    """Only a confirmed status is a base, so what a lost one told is told again."""
+    bench = busy_part(20)
+    leader = leader_of(bench, 1.0)
+    confirmed = leader.part_status(3.0, bench.core.status(3.0))
+    one, two = bench.names[-1], bench.names[-2]
+    bench.report(one, 3.5, {next(iter(bench.on[one]))})
+    bench.core.status(3.6, confirmed)  # never arrives
+    bench.report(two, 3.7, {next(iter(bench.on[two]))})
+    leader.part_status(3.8, bench.core.status(3.8, confirmed))
+    part = next(iter(leader.parts.values()))
+
+    def rooms(machines: dict[Any, Any]) -> dict[Any, Any]:
+        return {m: (body["free"], len(body["ends"])) for m, body in machines.items()}
+
+    assert rooms(part.machines) == rooms(bench.core.status(3.8)["machines"])
+    # A leader that has nothing can't use a part of the picture, and says that it has none.
+    fresh = leader_of(bench, 4.0)
+    assert fresh.part_status(4.0, bench.core.status(4.0, confirmed)) == 0
+    assert fresh.part_status(4.1, bench.core.status(4.1)) > 0
+    assert rooms(next(iter(fresh.parts.values())).machines) == rooms(part.machines)
+
+
+def leader_of(bench: Bench, now: float) -> LeaderCore:
+    bench.mirror.put("dw/p/a", {"owner": "n0", "boot": "x"}, int(bench.core.token))
+    return LeaderCore(bench.mirror, standins.settings("n0"), Estimates(), Token(9), now)
+
+
+def test_a_pass_costs_little_more_for_each_gang_that_waits() -> None:
+    """Gangs that are alike are looked at once: machines times gangs was the cost before."""
+
+    def cost(machines: int, gangs: int) -> int:
+        bench = busy_part(machines)
+        leader = leader_of(bench, 3.0)
+        leader.part_status(3.0, bench.core.status(3.0))
+        for n in range(gangs):
+            asked = JobRecord(spec(machines * 4, 4.0, 30.0, gang=True), 3.0)
+            bench.put(f"dw/j/run-w{n}", asked.dump())
+        leader.plan(3.0, 3.0)
+        return calls(lambda: leader.plan(3.2, 3.2))
+
+    few, many = cost(300, 5), cost(300, 50)
+    assert (many - few) / 45 < 300
+
+
+def test_a_group_of_machines_is_one_record_that_changes_machine_by_machine() -> None:
+    """A write for each machine that came up used the whole budget for a minute at the start."""
+    mirror = Mirror()
+    mirror.put(TYPES, types_value([KIND]), 1)
+    group = {"type": "k", "zone": "a", "spot": False, "at": 0.0}
+    mirror.put("dw/m/r-1", group | {"machines": {"vm-1": "b", "vm-2": "b"}}, 2)
+    assert mirror.changed_machines == ["vm-1", "vm-2"]
+    mirror.changed_machines.clear()
+    mirror.put("dw/m/r-1", group | {"machines": {"vm-1": "u", "vm-2": "b"}}, 3)
+    assert mirror.changed_machines == ["vm-1"]
+    assert mirror.machines["vm-1"].up and not mirror.machines["vm-2"].up
+    mirror.changed_machines.clear()
+    mirror.put("dw/m/r-1", group | {"machines": {"vm-2": "d"}}, 4)
+    assert mirror.changed_machines == ["vm-1", "vm-2"]
+    assert "vm-1" not in mirror.machines and mirror.machines["vm-2"].doomed
+    mirror.remove("dw/m/r-1", 5)
+    assert not mirror.machines and not mirror.group_of
