--- a/src/dapplewick/core/part.py
+++ b/src/dapplewick/core/part.py
@@ -572,6 +572,10 @@
                 self._remove_live(machine, task)
                 return forget
             return []
+        log.debug(
+            "event=ended task=%s/%d attempt=%d machine=%s cause=%s",
+            task.job, task.number, item.attempt, machine.id, item.cause,
+        )  # fmt: skip
         hold = self.holds.get(task.job)
         if hold is not None and hold.attempt == item.attempt and not hold.bad:
             hold.bad = item.cause or "exited"
@@ -765,7 +769,9 @@
     def _passes(self, now: Seconds, spec: JobSpec, machine: Machine) -> bool:
         """The test of the design's fourth point, against every gang held on this machine."""
         holds = {job_id: hold for job_id, hold, _ in self._held_on(machine.id)}
-        if any(hold.ready for hold in holds.values()):
+        # Where singles are stopped for a gang, its wait ends with the last of them: one that
+        # passed by its estimate was stopped with the next report, over and over.
+        if any(hold.ready or hold.preempt for hold in holds.values()):
             return False
         estimate = self.estimates.run_time(spec)
         return all(
--- a/tests/test_four_points.py
+++ b/tests/test_four_points.py
@@ -6,6 +6,7 @@
 
 from hypothesis import given, settings
 from hypothesis import strategies as st
+from msgspec.structs import replace
 
 from dapplewick.core.estimates import Estimates
 from dapplewick.core.fleet import Fleet, Need
@@ -448,3 +449,27 @@
     old.mirror.remove(MACHINES + old.names[0], 10_000)
     core = PartCore(ZONE, Token(60), old.mirror, Estimates(), 2.0)
     assert core.status(3.0)["gangs"]["run-1"][1] == "bad"
+
+
+def test_no_single_passes_a_gang_for_which_singles_are_stopped() -> None:
+    """It passed by its estimate and was stopped with the next report, thousands of times."""
+    bench = Bench(2)
+    for name in bench.names:
+        bench.report(name, 0.0)
+    bench.grant("run-long", spec(1, 4.0, 500.0), 0.0)
+    bench.grant("run-s", spec(8, 1.0, 5.0), 0.0)
+    bench.core.tick(0.0)
+    for name in bench.names:
+        bench.report(name, 1.0)
+    record = JobRecord(replace(spec(2, 4.0, 30.0, gang=True), rank=2), 1.0)
+    record.gang = GangPlace(7, [("a", m) for m in bench.names], preempt=True)
+    bench.put(JOBS + "run-g", record.dump())
+    bench.core.job_changed(1.0, JobId("run-g"))
+    short = next(n for n in bench.names if len(bench.on[n]) == 4)
+    stops = [o.task for o in bench.report(short, 2.0) if o.op == "stop"]
+    assert len(stops) == 4
+    halted = {t: bench.on[short].pop(t) for t in stops}
+    bench.seq += 1
+    tasks = [TaskReport(t, a, "exited", "halted", False) for t, a in halted.items()]
+    said = Report(short, TypeName("k"), ZONE, False, 1, bench.seq, TOKEN, None, "", tasks)
+    assert starts(bench.core.report(3.0, said, True)) == []
