--- a/src/dapplewick/core/demand.py
+++ b/src/dapplewick/core/demand.py
@@ -10,7 +10,8 @@
 
 GANG_WINDOW_S = 45.0  # gang tasks that come in this time should find idle slots
 MEMORY_S = 60.0  # over this time the rate at which gangs come is counted
-UNAIMED_S = 100.0  # work without aims of its own is left no room for this long
+UNAIMED_S = 60.0  # work without aims of its own is left no room for this long
+SCARCE = 0.5  # of the accelerators
 FADE_S = 20.0  # a demand for accelerators that has passed is believed in for about this long
 
 
@@ -53,6 +54,10 @@
                 have += kind.gpus
         self._share = min(1.0, self._wanted / have) if have else 0.0
 
+    def scarce(self) -> bool:
+        """Whether most accelerators are wanted: what their work leaves goes to more of it."""
+        return self._share > SCARCE
+
     def reserve(self, capacity: Size, free: Size) -> Size:
         """What is to be left free on a machine for the accelerators that are wanted."""
         if capacity.gpus <= 0 or self._share <= 0.01:
--- a/src/dapplewick/core/leader.py
+++ b/src/dapplewick/core/leader.py
@@ -23,6 +23,7 @@
     BOOKINGS,
     DONE,
     JOBS,
+    MACHINES,
     PARTS,
     TYPES,
     GangPlace,
@@ -246,6 +247,8 @@
         for change in changes:
             if change.key.startswith(JOBS):
                 self._stored_at[JobId(change.key[len(JOBS) :])] = now
+            elif change.key.startswith(MACHINES):
+                self.book.written(now, change.key[len(MACHINES) :])
 
     def _log_load(
         self,
@@ -565,7 +568,7 @@
         room = {}
         for part in rooms:
             said = self.parts[part.zone].jobs
-            running = sum(rank < GANG_RANK for v in part.views for _, _, rank in v.ends)
+            running = sum(end.rank < GANG_RANK for v in part.views for end in v.ends)
             waiting = 0
             for job_id in self.mirror.live_jobs:
                 granted = self._job(job_id).grants.get(part.zone)
--- a/src/dapplewick/core/machines.py
+++ b/src/dapplewick/core/machines.py
@@ -24,7 +24,9 @@
 
 log = logging.getLogger("dapplewick.leader")
 
-SOON, LATER = 0, 2  # ranks of changes
+SOON, NEXT, LATER = 0, 1, 2  # ranks of changes
+UP_S = 1.0  # machines of a group that came up are told of this often
+GROUP_MOST = 150  # machines in a record: it stays well below what a value may hold
 
 
 class Change(NamedTuple):
@@ -48,6 +50,7 @@
         self.listed: dict[MachineId, Listed] = {}
         self._unknown_since: dict[MachineId, Seconds] = {}
         self._up_since: dict[MachineId, Seconds] = {}
+        self._up_at: dict[str, Seconds] = {}
         self._drafts: dict[str, tuple[GroupRecord, int]] = {}
 
     def were_deleted(self, machines: Iterable[MachineId]) -> None:
@@ -60,6 +63,9 @@
             m: self._unknown_since.get(m, now) for m in self.listed if m not in known
         }
 
+    def written(self, now: Seconds, name: str) -> None:
+        self._up_at[name] = now
+
     # Drafts
 
     def begin(self) -> None:
@@ -95,28 +101,35 @@
     ) -> None:
         """The machines of a rental: one record for all of them."""
         new = [m for m in machines if m not in self.mirror.machines and m not in self.deleted]
-        if new and name not in self.mirror.groups:
-            self._drafts[name] = (
-                GroupRecord(
-                    type=booking.type, zone=booking.zone, spot=booking.spot, at=wall,
-                    machines=dict.fromkeys(new, BOOTING),
-                ),
-                SOON,
-            )  # fmt: skip
+        if new:
+            self._add(new, booking.type, booking.zone, booking.spot, wall, name, SOON)
+
+    def _add(
+        self, machines: list[MachineId], type_: str, zone: str, spot: bool, wall: Seconds,
+        name: str, rank: int,
+    ) -> None:  # fmt: skip
+        """Into a group of their kind that has room, else into a new one of this name."""
+        states: dict[str, str] = dict.fromkeys(machines, f"{BOOTING}{wall:.0f}")
+        for known, group in self.mirror.groups.items():
+            draft = self._drafts.get(known)
+            size = len(draft[0].machines if draft is not None else group.machines)
+            if (group.type, group.zone, group.spot) == (type_, zone, spot) and (
+                size + len(machines) <= GROUP_MOST
+            ):
+                self._draft(known, rank).machines.update(states)
+                return
+        self._drafts[name] = (
+            GroupRecord(type=type_, zone=zone, spot=spot, machines=states),
+            rank,
+        )
 
     def adopt(
         self, machine_id: MachineId, type_: str, zone: str, spot: bool, wall: Seconds, rank: int
     ) -> None:
         """A machine that nobody here knows of: used or returned like the others."""
-        name = f"x-{machine_id}"
-        if name in self._drafts or machine_id in self.mirror.machines:
+        if machine_id in self.mirror.machines or machine_id in self.deleted:
             return
-        if machine_id in self.deleted:
-            return
-        group = GroupRecord(
-            type=type_, zone=zone, spot=spot, at=wall, machines={machine_id: BOOTING}
-        )
-        self._drafts[name] = (group, rank)
+        self._add([machine_id], type_, zone, spot, wall, f"x-{machine_id}", rank)
         log.info("event=machine_adopted machine=%s", machine_id)
 
     # The pass
@@ -127,6 +140,7 @@
     ) -> None:  # fmt: skip
         """Look at every machine: `heard` is what the parts say of each, `silent` names those
         they have not heard for a while."""
+        came_up: dict[str, list[MachineId]] = {}
         for machine_id, record in self.mirror.machines.items():
             if record.doomed:
                 if machine_id in self.deleted:
@@ -139,7 +153,12 @@
             if why:
                 self.doom(machine_id, why)
             elif body is not None and body["heard"] and not record.up:
-                self._set(machine_id, UP, SOON)
+                came_up.setdefault(self.mirror.group_of[machine_id], []).append(machine_id)
+        for name, machines in came_up.items():
+            # All that came up in a while is written together: hundreds do at the start.
+            if now - self._up_at.get(name, -1e9) >= UP_S:
+                for machine_id in machines:
+                    self._set(machine_id, UP, NEXT)
         # Lists lag: a machine that is gone may still be listed for twice the lag.
         patience = 2.5 * self.lag_s
         for machine_id, since in self._unknown_since.items():
--- a/src/dapplewick/core/model.py
+++ b/src/dapplewick/core/model.py
@@ -5,17 +5,27 @@
 import math
 from bisect import bisect_right
 from collections.abc import Iterable
-from typing import Any
+from typing import Any, NamedTuple
 
 from dapplewick.core.demand import AcceleratorDemand, GangDemand
 from dapplewick.protocol.wire import JobSpec
 from dapplewick.types import NOTHING, MachineId, Seconds, Size, TypeName, Zone
 
+ONE_GROUP_TIMES = 2.0  # behind one gang a longer wait is taken than behind several
 GANG_RANK = 99  # a gang's task counts as this among ends: nothing stops it for another gang
 
 Shape = tuple[Any, ...]
 
 
+class End(NamedTuple):
+    """When a task on a machine is estimated to end, and what it leaves."""
+
+    at: Seconds
+    size: Size
+    rank: int
+    group: str  # tasks with the same one end together: a gang's
+
+
 def shape_of(spec: JobSpec) -> Shape:
     """What decides where a task fits: jobs that are alike in it need to be looked at once."""
     return (spec.size, tuple(spec.types or ()), spec.spot, spec.zone, spec.rank, spec.gang)
@@ -51,7 +61,7 @@
         spot: bool,
         capacity: Size,
         free: Size,
-        ends: list[tuple[Seconds, Size, int]],
+        ends: list[End],
         queued: int,
         demand: AcceleratorDemand | None = None,
         images: Iterable[str] = (),
@@ -63,11 +73,11 @@
         self.capacity = capacity
         self.free = free
         self.told = free  # the free room as its part told it
-        self.ends = ends  # when its singles are estimated to end, their sizes and ranks
+        self.ends = ends  # in the order of their times
         self.now = 0.0
         self.queued = queued
         self.demand = demand
-        self.could_be = free.cpus + sum(size.cpus for _, size, _ in ends)
+        self.could_be = free.cpus + sum(end.size.cpus for end in ends)
         self.images = frozenset(images)
         self.usable = True
         self.memo: dict[Any, Any] = {}  # slots by shape, until room is taken
@@ -94,6 +104,11 @@
         reserve = self.demand.reserve(self.capacity, self.free)
         return free if reserve is NOTHING else free.minus(reserve)
 
+    def keeps_accelerators(self, spec: JobSpec) -> bool:
+        """Whether the CPUs beside accelerators here are for work that needs these. A gang that
+        took them, with such work stopped for it, left most accelerators idle."""
+        return spec.gpus == 0 and self.demand is not None and self.demand.scarce()
+
     def times(self, spec: JobSpec) -> int:
         return spec.size.times_in(self.room(spec))
 
@@ -112,7 +127,10 @@
         if size.fits(room):
             return 0.0, 0.0
         natural = -1.0
-        for end, taken, other in self.ends:
+        keep = self.keeps_accelerators(spec)
+        for end, taken, other, _ in self.ends:
+            if keep and taken.gpus > 0:
+                continue
             room = room.plus(taken)
             if other < rank:
                 forced = forced.plus(taken)
@@ -142,6 +160,27 @@
                 self.free = saved
         return waits
 
+    def slot_ends(self, spec: JobSpec, shape: Shape) -> list[tuple[Seconds, str]]:
+        """When each slot of this shape becomes idle here by itself, and with whose end."""
+        slots: list[tuple[Seconds, str]] | None = self.memo.get((shape, "ends"))
+        if slots is None:
+            slots = self.memo[(shape, "ends")] = []
+            if self.could_be >= spec.cpus - 1e-6 and self.allows(spec):
+                size, room = spec.size, self.room(spec)
+                count = size.times_in(room)
+                slots.extend([(0.0, "")] * count)
+                room = room.minus(size.times(count))
+                keep = self.keeps_accelerators(spec)
+                for end in self.ends:
+                    if keep and end.size.gpus > 0:
+                        continue
+                    room = room.plus(end.size)
+                    while size.fits(room):
+                        room = room.minus(size)
+                        group = end.group or f"{self.id}/{len(slots)}"
+                        slots.append((max(0.0, end.at - self.now), group))
+        return slots
+
     def idle_slots(self, spec: JobSpec, shape: Shape) -> int:
         count = self.memo.get(shape)
         if count is None:
@@ -227,8 +266,8 @@
 ) -> View:
     """A machine as a part's status tells it; `clock` is our clock less the part's."""
     ends = [
-        (float(end) + clock, Size(cpus, gpus, ram), int(rank))
-        for end, cpus, gpus, ram, rank in status["ends"]
+        End(float(end) + clock, Size(cpus, gpus, ram), int(rank), str(group))
+        for end, cpus, gpus, ram, rank, group in status["ends"]
     ]
     view = View(
         machine,
@@ -246,6 +285,33 @@
     return view
 
 
+class EndGroup(NamedTuple):
+    """Slots that become idle together."""
+
+    wait: Seconds
+    views: list[View]
+
+
+def fit_behind(
+    idle: list[View], groups: list[EndGroup], count: int, limit: Seconds
+) -> list[View] | None:
+    """Slots for a gang to hold behind others. Behind one gang that is large enough nothing
+    stands idle, however wrong its estimate is. Else the fewest, largest groups: the more of
+    them, the longer the last is waited for by all that ended before it."""
+    enough = [g for g in groups if len(g.views) >= count and g.wait <= ONE_GROUP_TIMES * limit]
+    if enough:
+        return min(enough, key=lambda g: g.wait).views[:count]
+    chosen: list[View] = []
+    for group in sorted(groups, key=lambda g: (-len(g.views), g.wait)):
+        missing = count - len(chosen)
+        if missing <= len(idle):
+            break
+        if group.wait <= limit:
+            chosen.extend(group.views[:missing])
+    chosen.extend(idle[: count - len(chosen)])
+    return chosen if len(chosen) == count else None
+
+
 class PartRooms:
     """One part's rooms within a pass."""
 
@@ -255,6 +321,8 @@
         self.open = [v for v in views if v.free.cpus > 1e-6]
         self._totals: dict[Shape, int] = {}
         self._waits: dict[Shape, list[Seconds]] = {}
+        self._groups: dict[Shape, tuple[list[View], list[EndGroup]]] = {}
+        self._lowest: int | None = None
         self._kept: GangDemand | None = None
         self._idle: int | None = None
 
@@ -262,6 +330,7 @@
         """Room was taken here."""
         self._totals.clear()
         self._waits.clear()
+        self._groups.clear()
         self._idle = None
 
     def add(self, view: View) -> None:
@@ -269,6 +338,7 @@
         self.open.append(view)
         self._totals.clear()
         self._waits.clear()
+        self._groups.clear()
         self._idle = None
 
     def idle(self, spec: JobSpec, shape: Shape) -> int:
@@ -289,6 +359,30 @@
             )
         return bisect_right(waits, limit)
 
+    def groups(self, spec: JobSpec, shape: Shape) -> tuple[list[View], list[EndGroup]]:
+        """The idle slots of this shape, and those that become idle together."""
+        found = self._groups.get(shape)
+        if found is None:
+            idle: list[View] = []
+            by_name: dict[str, EndGroup] = {}
+            for view in self.views:
+                for wait, name in view.slot_ends(spec, shape):
+                    if not name:
+                        idle.append(view)
+                        continue
+                    group = by_name.get(name)
+                    if group is None:
+                        group = by_name[name] = EndGroup(wait, [])
+                    group.views.append(view)
+            found = self._groups[shape] = (idle, list(by_name.values()))
+        return found
+
+    def preemptable(self, rank: int) -> bool:
+        """Whether any work here has a lower rank."""
+        if self._lowest is None:
+            self._lowest = min((end.rank for v in self.views for end in v.ends), default=GANG_RANK)
+        return self._lowest < rank
+
     def candidates(self, spec: JobSpec) -> list[View]:
         cpus, gpus = spec.cpus - 1e-6, spec.gpus - 1e-6
         return [
@@ -334,6 +428,7 @@
             self._kept = kept
             self._totals.clear()
             self._waits.clear()
+            self._groups.clear()
             for view in self.views:
                 view.kept = kept
                 view.memo.clear()
--- a/src/dapplewick/core/part_status.py
+++ b/src/dapplewick/core/part_status.py
@@ -108,8 +108,9 @@
             round(now + core.expected_left(now, live), 1),
             *live.size,
             GANG_RANK if live.spec.gang else live.spec.rank,
+            task.job if live.spec.gang else "",
         )
-        for live in machine.live.values()
+        for task, live in machine.live.items()
         if live.stage != "exited" and live.spec is not None
     ]
     ends.sort()
--- a/src/dapplewick/core/placing.py
+++ b/src/dapplewick/core/placing.py
@@ -4,7 +4,15 @@
 
 from collections.abc import Iterable
 
-from dapplewick.core.model import PartRooms, View, fit_all, fit_held, shape_of
+from dapplewick.core.model import (
+    ONE_GROUP_TIMES,
+    PartRooms,
+    View,
+    fit_all,
+    fit_behind,
+    fit_held,
+    shape_of,
+)
 from dapplewick.protocol.wire import JobSpec
 from dapplewick.types import Seconds
 
@@ -56,16 +64,30 @@
     shape = shape_of(spec)
     best: tuple[float, list[View], bool] | None = None
     for part in parts:
+        if not part.preemptable(spec.rank):
+            if part.held(spec, shape, ONE_GROUP_TIMES * limit) < spec.tasks:
+                continue
+            behind = fit_behind(*part.groups(spec, shape), spec.tasks, limit)
+            if behind is not None:
+                wait = _wait(spec, behind)
+                if best is None or wait < best[0]:
+                    best = (wait, behind, False)
+            continue
         if part.held(spec, shape, limit) < spec.tasks:
             continue
         option = fit_held(part.views, spec, spec.tasks, patience, limit)
         if option is None:
             continue
-        wait = 0.0
-        for view in option[0]:
-            times = view.room_in(spec)
-            if times is not None:
-                wait = max(wait, times[1] if option[1] else times[0])
+        wait = _wait(spec, option[0], option[1])
         if best is None or wait < best[0]:
             best = (wait, option[0], option[1])
     return (best[1], best[2]) if best is not None else None
+
+
+def _wait(spec: JobSpec, views: list[View], preempt: bool = False) -> Seconds:
+    wait = 0.0
+    for view in views:
+        times = view.room_in(spec)
+        if times is not None:
+            wait = max(wait, times[1] if preempt else times[0])
+    return wait
--- a/src/dapplewick/node.py
+++ b/src/dapplewick/node.py
@@ -61,7 +61,8 @@
 LIST_S = 10.0
 CLOUD_CALL_S = 6.0
 SHARE = 0.9  # of the state service's limits that all controllers use together
-LEADER_WRITES = 0.6
+LEADER_WRITES = 0.8  # of them the leader's share
+LEAST_BURST = 6.0  # users come at once, so each node may accept some at once
 WATCH_SHARE = 0.35  # of this node's requests: a watch is opened anew after each change
 REST = 1.0  # after a pass the leader leaves the processor alone for this times as long
 
@@ -100,7 +101,7 @@
         writes = deployment.state.write_rps * SHARE
         self._few_writes = writes * (1 - LEADER_WRITES) / max(1, deployment.count - 1)
         self._many_writes = writes * LEADER_WRITES
-        self.state = StateClient(connect(host, port), rps, self._few_writes)
+        self.state = StateClient(connect(host, port), rps, self._few_writes, LEAST_BURST)
         self._check_gap = 1.0 / (0.4 * rps)
         self._watch_gap = 1.0 / (WATCH_SHARE * rps)
         host, port = host_port(settings.outside.cloud, "outside.cloud")
--- a/src/dapplewick/service.py
+++ b/src/dapplewick/service.py
@@ -32,8 +32,8 @@
 
 
 def configure_memory() -> None:
-    """What is loaded by now stays, and what a controller keeps are few long-lived records in
-    trees: looking for cycles among them after every 700 new objects costs a tenth of its time."""
+    """What is loaded by now stays, and what a controller keeps are long-lived records without
+    cycles: they need not be searched after every 700 new objects."""
     gc.collect()
     gc.freeze()
     gc.set_threshold(20_000, 20, 50)
--- a/src/dapplewick/storage/client.py
+++ b/src/dapplewick/storage/client.py
@@ -40,22 +40,23 @@
 
 
 class Budget:
-    """A bucket of requests, filled at `rate`, with a second's worth of burst."""
+    """A bucket of requests, filled at `rate`, with a second's worth of burst, or a little."""
 
-    def __init__(self, rate: float) -> None:
+    def __init__(self, rate: float, least: float = 0.0) -> None:
         self.rate = rate
-        self._level = rate
+        self._least = least
+        self._level = max(rate, least)
         self._at = -1e9
 
     def level(self) -> float:
         """What is left now."""
-        return min(self.rate, self._level + (anyio.current_time() - self._at) * self.rate)
+        most = max(self.rate, self._least)
+        return min(most, self._level + (anyio.current_time() - self._at) * self.rate)
 
     def take(self, amount: float = 1.0, reserve: float = 0.0) -> bool:
         """Take an amount; `reserve` is left for calls that matter more."""
-        now = anyio.current_time()
-        self._level = min(self.rate, self._level + (now - self._at) * self.rate)
-        self._at = now
+        self._level = self.level()
+        self._at = anyio.current_time()
         if self._level < amount + reserve:
             return False
         self._level -= amount
@@ -65,10 +66,12 @@
 class StateClient:
     """Calls of the state service. Over the budget a call is refused here, not there."""
 
-    def __init__(self, http: HttpClient, rps: float, write_rps: float) -> None:
+    def __init__(
+        self, http: HttpClient, rps: float, write_rps: float, write_burst: float = 0.0
+    ) -> None:
         self._http = http
         self.calls = Budget(rps)
-        self.writes = Budget(write_rps)
+        self.writes = Budget(write_rps, write_burst)
 
     async def _call(
         self, method: str, target: str, body: bytes | None, within: float = CALL_S
--- a/src/dapplewick/storage/records.py
+++ b/src/dapplewick/storage/records.py
@@ -113,19 +113,20 @@
 
 
 class GroupRecord(msgspec.Struct):
-    """The machines of one rental, in one record: a write for each change of each machine would
-    use up the state service's budget while hundreds of them come up."""
+    """Machines of one kind in one zone, in one record: a write for each change of each machine
+    would use up the state service's budget while hundreds of them come up. The text of each is
+    its state, and for one that boots the time of its rental after it."""
 
     type: str
     zone: str
     spot: bool
-    at: float
-    machines: dict[str, str]  # machine -> booting, up or doomed
+    machines: dict[str, str]
 
     def record(self, machine: str) -> MachineRecord:
-        state = self.machines[machine]
+        text = self.machines[machine]
+        state = text[:1]
         return MachineRecord(
-            type=self.type, zone=self.zone, spot=self.spot, at=self.at,
+            type=self.type, zone=self.zone, spot=self.spot, at=float(text[1:] or 0),
             up=state != BOOTING, doomed=state == DOOMED,
         )  # fmt: skip
 
--- a/tests/test_four_points.py
+++ b/tests/test_four_points.py
@@ -62,7 +62,7 @@
 
 def group(name: str) -> dict[str, object]:
     """The record of a machine that is up."""
-    return {"type": "k", "zone": "a", "spot": False, "at": 0.0, "machines": {name: "u"}}
+    return {"type": "k", "zone": "a", "spot": False, "machines": {name: "u"}}
 
 
 class Bench:
--- a/tests/test_growth.py
+++ b/tests/test_growth.py
@@ -129,12 +129,13 @@
     """A write for each machine that came up used the whole budget for a minute at the start."""
     mirror = Mirror()
     mirror.put(TYPES, types_value([KIND]), 1)
-    group = {"type": "k", "zone": "a", "spot": False, "at": 0.0}
-    mirror.put("dw/m/r-1", group | {"machines": {"vm-1": "b", "vm-2": "b"}}, 2)
+    group = {"type": "k", "zone": "a", "spot": False}
+    mirror.put("dw/m/r-1", group | {"machines": {"vm-1": "b100", "vm-2": "b101"}}, 2)
     assert mirror.changed_machines == ["vm-1", "vm-2"]
     mirror.changed_machines.clear()
-    mirror.put("dw/m/r-1", group | {"machines": {"vm-1": "u", "vm-2": "b"}}, 3)
+    mirror.put("dw/m/r-1", group | {"machines": {"vm-1": "u", "vm-2": "b101"}}, 3)
     assert mirror.changed_machines == ["vm-1"]
+    assert mirror.machines["vm-2"].at == 101.0
     assert mirror.machines["vm-1"].up and not mirror.machines["vm-2"].up
     mirror.changed_machines.clear()
     mirror.put("dw/m/r-1", group | {"machines": {"vm-2": "d"}}, 4)
