--- a/src/dapplewick/node.py
+++ b/src/dapplewick/node.py
@@ -10,6 +10,7 @@
 
 import anyio
 import anyio.abc
+import msgspec
 
 from dapplewick.api import NO_METHOD, NO_PATH, PATH, Api
 from dapplewick.config import Settings, host_port
@@ -29,6 +30,7 @@
     StateClient,
     TooOld,
     Unknown,
+    batches,
 )
 from dapplewick.storage.records import (
     JOBS,
@@ -67,6 +69,10 @@
 REST = 1.0  # after a pass the leader leaves the processor alone for this times as long
 
 
+def value_size(change: Change) -> int:
+    return len(msgspec.json.encode(change.value))
+
+
 class Check:
     """One look whether the mirror is current, shared by all who wait for it."""
 
@@ -367,9 +373,7 @@
         if room < len(changes):
             log.debug("event=writes_put_off count=%d", len(changes) - room)
             changes = changes[:room]
-        most = max(1, self.settings.deployment.state.txn_ops)
-        for start in range(0, len(changes), most):
-            batch = changes[start : start + most]
+        for batch in batches(changes, value_size, self.settings.deployment.state):
             await self._write(batch)
             self.leader.written(now, batch)
 
--- a/src/dapplewick/storage/client.py
+++ b/src/dapplewick/storage/client.py
@@ -3,16 +3,19 @@
 from __future__ import annotations
 
 import logging
-from typing import Any
+from collections.abc import Callable, Iterable, Iterator
+from typing import Any, TypeVar
 
 import anyio
 
+from dapplewick.config import StateLimits
 from dapplewick.protocol import wire
 from dapplewick.transport.http import HttpClient, HttpError, NotSent
 
 log = logging.getLogger("dapplewick.state")
 
 CALL_S = 1.5
+TXN_BYTES = 48 * 1024  # of values in a transaction, which may hold 64 KiB with all around them
 
 
 class Refused(Exception):
@@ -63,6 +66,30 @@
         return True
 
 
+C = TypeVar("C")
+
+
+def batches(
+    changes: Iterable[C], sized: Callable[[C], int], limits: StateLimits
+) -> Iterator[list[C]]:
+    """Cut changes into transactions that the state service takes. One whose value is too large
+    by itself is left out: with it every transaction that it came in would be refused."""
+    batch: list[C] = []
+    total = 0
+    for change in changes:
+        size = sized(change)
+        if size > limits.value_kb * 1024:
+            log.error("event=value_too_large bytes=%d change=%.120r", size, change)
+            continue
+        if batch and (len(batch) >= limits.txn_ops or total + size > TXN_BYTES):
+            yield batch
+            batch, total = [], 0
+        batch.append(change)
+        total += size
+    if batch:
+        yield batch
+
+
 class StateClient:
     """Calls of the state service. Over the budget a call is refused here, not there."""
 
--- a/tests/test_growth.py
+++ b/tests/test_growth.py
@@ -10,11 +10,14 @@
 from typing import Any
 
 import cbor2
+import msgspec
+from msgspec.structs import replace
 
 import standins
 from dapplewick.core.estimates import Estimates
 from dapplewick.core.leader import LeaderCore
 from dapplewick.protocol.wire import types_value
+from dapplewick.storage.client import batches
 from dapplewick.storage.records import TYPES, JobRecord, Mirror
 from dapplewick.types import Token
 from test_four_points import KIND, Bench, spec
@@ -143,3 +146,22 @@
     assert "vm-1" not in mirror.machines and mirror.machines["vm-2"].doomed
     mirror.remove("dw/m/r-1", 5)
     assert not mirror.machines and not mirror.group_of
+
+
+def test_transactions_stay_within_what_the_state_service_takes() -> None:
+    """Sixteen records of large arrays were more than a transaction holds, and were refused
+    again with every pass."""
+    limits = standins.settings("n0").deployment.state
+    kb = 1024
+    sizes = [5 * kb] * 40 + [int(limits.value_kb * kb) + 1] + [100] * 40
+    cut = list(batches(sizes, lambda size: size, limits))
+    assert sum(len(batch) for batch in cut) == 80
+    assert all(len(batch) <= limits.txn_ops and sum(batch) <= 48 * kb for batch in cut)
+
+
+def test_the_largest_arrays_record_fits_with_scattered_done_tasks() -> None:
+    asked = replace(spec(2000, 1.0, 30.0), bundle="b" * 60, image="i" * 60)
+    record = JobRecord(asked, 1.0)
+    record.done = set(range(0, 2000, 2))
+    record.grants = {"zone-a": set(range(1, 2000, 4)), "zone-b": set(range(3, 2000, 4))}
+    assert len(msgspec.json.encode(record.dump())) < 16 * 1024
