Rented machines are written before their booking ends; held urgent gangs are hurried

Causes: (1) with the write budget used up, a booking's end could be written and its machines' record not: they were found again only by the cloud's list.

--- a/src/dapplewick/core/demand.py
+++ b/src/dapplewick/core/demand.py
@@ -29,9 +29,11 @@
         self._at = 0.0
         self._each = Size(0.0, 1.0, 0.0)
         self._share = 0.0
+        self.rank = -1  # the highest of the work that wants accelerators
 
     def update(self, now: Seconds, wall: Seconds) -> None:
         wanted = cpus = ram = 0.0
+        self.rank = -1
         for _, job in self.mirror.each_live():
             spec = job.spec
             if spec.gpus > 0 and job.open:
@@ -39,6 +41,7 @@
                 # those for this work, until it has waited for long.
                 if self._aimed and spec.bundle not in self._aimed and wall - job.at < UNAIMED_S:
                     continue
+                self.rank = max(self.rank, spec.rank)
                 wanted += spec.gpus * (spec.tasks - len(job.done))
                 cpus = max(cpus, spec.cpus / spec.gpus)
                 ram = max(ram, spec.ram / spec.gpus)
@@ -54,6 +57,9 @@
                 have += kind.gpus
         self._share = min(1.0, self._wanted / have) if have else 0.0
 
+    def wanted(self) -> bool:
+        return self._share > 0.01
+
     def scarce(self) -> bool:
         """Whether most accelerators are wanted: what their work leaves goes to more of it."""
         return self._share > SCARCE
--- a/src/dapplewick/core/leader.py
+++ b/src/dapplewick/core/leader.py
@@ -142,6 +142,7 @@
         self._teams = {t.name: t for t in self.settings.teams}
         self._load_at = now
         self._fleet_at = -1e9
+        self._held_since: dict[JobId, Seconds] = {}  # gangs that stop nothing for their slots
 
     # Inputs
 
@@ -221,7 +222,7 @@
         """What to write now, what matters most first."""
         self._draft.clear()
         self.book.begin()
-        self._absorb()
+        self._absorb(now)
         self._review_machines(now, wall)
         self.demand.update(now, wall)
         self.gangs.update(now)
@@ -230,8 +231,10 @@
         self._place_gangs(now, wall, rooms, usage)
         ordered = self._singles(wall)
         self._grant(rooms, usage, ordered)
-        changes = self._fleet_changes(now, wall, rooms, ordered)
-        changes += self.book.changes()
+        fleet = self._fleet_changes(now, wall, rooms, ordered)
+        # Machines before the end of the booking that rented them: what the budget cuts off is
+        # the end of this list, and a machine without record or booking is found only later.
+        changes = self.book.changes() + fleet
         for job_id, (job, rank) in self._draft.items():
             if rank == 3 and now - self._stored_at.get(job_id, 0.0) < PROGRESS_S:
                 continue
@@ -277,7 +280,7 @@
             kinds, len(self.fleet.coming(wall)), waiting, gangs, held,
         )  # fmt: skip
 
-    def _absorb(self) -> None:
+    def _absorb(self, now: Seconds) -> None:
         """Take over what the parts report of their jobs."""
         for part in self._owned():
             self._absorb_singles(part)
@@ -285,7 +288,7 @@
                 old = self.mirror.jobs.get(job_id)
                 if old is not None and not old.open and part.zone in old.grants:
                     self._edit(job_id, 2).grants.pop(part.zone, None)
-        self._absorb_gangs()
+        self._absorb_gangs(now)
 
     def _absorb_singles(self, part: PartView) -> None:
         zone = part.zone
@@ -313,8 +316,13 @@
                 job.grants = {}
                 log.info("event=job_done job=%s", job_id)
 
-    def _absorb_gangs(self) -> None:
+    def _absorb_gangs(self, now: Seconds) -> None:
         owned = {p.zone: p for p in self._owned()}
+        lowest = min(
+            (j.spec.rank for _, j in self.mirror.each_live() if j.open and not j.spec.gang),
+            default=GANG_RANK,
+        )
+        held: dict[JobId, Seconds] = {}
         for job_id, old in list(self.mirror.each_live()):
             gang = old.gang
             if gang is None:
@@ -336,6 +344,15 @@
             elif old.open and not gang.over and "bad" in states:
                 log.info("event=gang_over job=%s attempt=%d", job_id, gang.attempt)
                 self._edit(job_id, 1).gang = GangPlace(gang.attempt, gang.places, over=True)
+            elif "held" in states and not gang.preempt and old.spec.rank > lowest:
+                # Its slots were to be idle soon by estimates that were too low.
+                held[job_id] = self._held_since.get(job_id, now)
+                if now - held[job_id] > self.tuning.patience_s:
+                    log.info("event=gang_hurried job=%s attempt=%d", job_id, gang.attempt)
+                    self._edit(job_id, 1).gang = GangPlace(
+                        gang.attempt, gang.places, preempt=True
+                    )  # fmt: skip
+        self._held_since = held
 
     def _usage(self) -> dict[str, Size]:
         """What each team's tasks use or may still use."""
@@ -431,6 +448,25 @@
             if job.spec.gang and job.open and job.gang is None
         ]
         waiting.sort(key=lambda w: (-w[1].spec.rank, -w[1].spec.tasks, w[1].at, w[0]))
+        left = self._place_each(waiting, wall, rooms, usage)
+        above = [w for w in left if w[1].spec.rank > self.demand.rank]
+        if above and self.demand.wanted():
+            # Nothing without accelerators is to be had soon, and this work goes before theirs.
+            for room in rooms:
+                room.set_demand(None)
+            self._place_each(above, wall, rooms, usage)
+            for room in rooms:
+                room.set_demand(self.demand)
+
+    def _place_each(
+        self,
+        waiting: list[tuple[JobId, JobRecord]],
+        wall: Seconds,
+        rooms: list[PartRooms],
+        usage: dict[str, Size],
+    ) -> list[tuple[JobId, JobRecord]]:
+        """Place gangs in this order; gives those for which there was no room."""
+        left = []
         by_zone = {room.zone: room for room in rooms}
         for job_id, job in waiting:
             spec = job.spec
@@ -439,6 +475,7 @@
             limit = HOLD_SHARE * max(wall - job.at, self.estimates.run_time(spec))
             found = place_gang(spec, rooms, max(LONG_HOLD_S, limit), self.tuning.patience_s)
             if found is None:
+                left.append((job_id, job))
                 continue
             chosen, preempt = found
             for view in chosen:
@@ -452,6 +489,7 @@
                 "event=gang_placed job=%s attempt=%d machines=%s preempt=%s",
                 job_id, attempt, ",".join(m for _, m in places), preempt,
             )  # fmt: skip
+        return left
 
     # Singles
 
--- a/src/dapplewick/core/model.py
+++ b/src/dapplewick/core/model.py
@@ -377,6 +377,14 @@
             found = self._groups[shape] = (idle, list(by_name.values()))
         return found
 
+    def set_demand(self, demand: AcceleratorDemand | None) -> None:
+        """Whether room beside accelerators is kept for the work that needs these."""
+        for view in self.views:
+            if view.capacity.gpus > 0:
+                view.demand = demand
+                view.memo.clear()
+        self.changed()
+
     def preemptable(self, rank: int) -> bool:
         """Whether any work here has a lower rank."""
         if self._lowest is None:
--- a/tests/standins.py
+++ b/tests/standins.py
@@ -485,9 +485,9 @@
                     piece.stage, piece.cause = "exited", "peers"
                 else:
                     piece.stage, piece.cause = "exited", "done"
-                    # If one task of a gang is done, all are.
-                    of_gang = [f"{job_id}/{i}" for i in range(job["pieces"])]
-                    self.world.results.update(of_gang if job["shape"] == "group" else [name])
+                    self.world.results.add(name)
+                    if job["shape"] == "group":
+                        self.world.finish(job_id, piece.attempt)
                 self.changed = True
             elif (
                 piece.stage == "running"
@@ -623,6 +623,15 @@
         }
         return len(there) == self.jobs[job_id]["pieces"]
 
+    def finish(self, job_id: str, attempt: int) -> None:
+        """The tasks of a gang complete together: if one is done, all are."""
+        for worker in self.workers.values():
+            for name, piece in worker.pieces.items():
+                if name.split("/")[0] == job_id and piece.attempt == attempt:
+                    piece.stage, piece.cause = "exited", "done"
+                    worker.changed = True
+                    self.results.add(name)
+
     # Rules
 
     def on_machines(self) -> list[tuple[Worker, str]]:
--- a/tests/test_growth.py
+++ b/tests/test_growth.py
@@ -18,8 +18,8 @@
 from dapplewick.core.leader import LeaderCore
 from dapplewick.protocol.wire import types_value
 from dapplewick.storage.client import batches
-from dapplewick.storage.records import TYPES, JobRecord, Mirror
-from dapplewick.types import Token
+from dapplewick.storage.records import TYPES, GangPlace, JobRecord, Mirror
+from dapplewick.types import JobId, MachineId, Revision, Token
 from test_four_points import KIND, Bench, spec
 
 
@@ -165,3 +165,50 @@
     record.done = set(range(0, 2000, 2))
     record.grants = {"zone-a": set(range(1, 2000, 4)), "zone-b": set(range(3, 2000, 4))}
     assert len(msgspec.json.encode(record.dump())) < 16 * 1024
+
+
+def test_a_held_gang_that_waits_on_has_singles_of_lower_priority_stopped() -> None:
+    """Its slots were chosen to be idle soon, by estimates that were too low: it waited for
+    minutes while it could have had them at once."""
+    bench = Bench(2)
+    for name in bench.names:
+        bench.report(name, 0.0)
+    bench.grant("run-s", spec(8, 1.0, 3.0), 0.0)
+    bench.core.tick(0.0)
+    for _ in range(2):
+        for name in bench.names:
+            bench.report(name, 1.0)
+    gang = replace(spec(2, 4.0, 30.0, gang=True), rank=2)
+    bench.put("dw/j/run-g", JobRecord(gang, 1.0).dump())
+    bench.core.job_changed(1.0, JobId("run-g"))
+    leader = leader_of(bench, 1.0)
+
+    def placed(now: float) -> GangPlace | None:
+        bench.mirror.revision = Revision(bench.version)
+        leader.part_status(now, bench.core.status(now))
+        for change in leader.plan(now, now):
+            if change.key == "dw/j/run-g":
+                bench.put(change.key, change.value)
+                bench.core.job_changed(now, JobId("run-g"))
+        return bench.mirror.jobs[JobId("run-g")].gang
+
+    first = placed(2.0)
+    assert first is not None and not first.preempt
+    waits = [placed(now) for now in (3.0, 4.0, 6.0, 8.0)]
+    assert [w is not None and w.preempt for w in waits] == [False, False, False, True]
+    assert waits[-1] is not None and waits[-1].attempt == first.attempt
+    stops = [o for name in bench.names for o in bench.report(name, 9.0) if o.op == "stop"]
+    assert len(stops) == 8
+
+
+def test_rented_machines_are_written_before_their_booking_ends() -> None:
+    """A pass that the write budget cut off in between lost sight of them."""
+    bench = Bench(0)
+    booking = {"type": "k", "zone": "a", "spot": False, "count": 2, "at": 0.0}
+    bench.put("dw/b/r-9-1", booking)
+    leader = leader_of(bench, 1.0)
+    leader.booking_answered("r-9-1", [MachineId("vm-1"), MachineId("vm-2")])
+    changes = leader.plan(2.0, 2.0)
+    assert [c.key for c in changes] == ["dw/m/r-9-1", "dw/b/r-9-1"]
+    assert set(changes[0].value["machines"]) == {"vm-1", "vm-2"}
+    assert changes[1].value is None
