--- a/src/dapplewick/core/leader.py
+++ b/src/dapplewick/core/leader.py
@@ -53,6 +53,7 @@
 LOAD_LOG_S = 10.0
 QUEUE_SHARE = 0.15  # singles queued in a part, beyond what fits, by running ones
 HOLD_SHARE = 0.25  # of its run time, or of its wait so far, a gang may hold idle slots
+UNAIMED_WAIT_S = 90.0  # work without aims lets gangs with some go first for this long
 FLEET_S = 1.0  # renting and returning is thought about this often
 
 
@@ -126,7 +127,8 @@
         self.estimates = estimates
         self.epoch = epoch
         self.started = now
-        self.demand = AcceleratorDemand(mirror, settings.deployment.aimed())
+        self._aimed = settings.deployment.aimed()
+        self.demand = AcceleratorDemand(mirror, self._aimed)
         self.gangs = GangDemand(mirror, self.tuning.spare_slots)
         self.fleet = Fleet(mirror, settings.deployment.zones, epoch, self.tuning)
         self.book = MachineBook(
@@ -230,7 +232,7 @@
         rooms = self._rooms(now)
         self._place_gangs(now, wall, rooms, usage)
         ordered = self._singles(wall)
-        self._grant(rooms, usage, ordered)
+        self._grant(rooms, usage, self._let_gangs_first(wall, ordered))
         fleet = self._fleet_changes(now, wall, rooms, ordered)
         # Machines before the end of the booking that rented them: what the budget cuts off is
         # the end of this list, and a machine without record or booking is found only later.
@@ -450,6 +452,8 @@
         waiting.sort(key=lambda w: (-w[1].spec.rank, -w[1].spec.tasks, w[1].at, w[0]))
         left = self._place_each(waiting, wall, rooms, usage)
         above = [w for w in left if w[1].spec.rank > self.demand.rank]
+        if above and self.demand.wanted():
+            above = self._not_awaited(wall, above)
         if above and self.demand.wanted():
             # Nothing without accelerators is to be had soon, and this work goes before theirs.
             for room in rooms:
@@ -458,6 +462,29 @@
             for room in rooms:
                 room.set_demand(self.demand)
 
+    def _not_awaited(
+        self, wall: Seconds, gangs: list[tuple[JobId, JobRecord]]
+    ) -> list[tuple[JobId, JobRecord]]:
+        """Gangs for which no machines without accelerators are about to come up. At the start
+        of a day all come up together, and those that were there first kept gangs for minutes."""
+        coming = {Zone(z): PartRooms(Zone(z), []) for z in self.settings.zones}
+        for view in self.fleet.coming(wall):
+            if view.capacity.gpus == 0 and view.zone in coming:
+                coming[view.zone].add(view)
+        out = []
+        for job_id, job in gangs:
+            spec, shape = job.spec, shape_of(job.spec)
+            parts = sorted(coming.values(), key=lambda p: -p.idle(spec, shape))
+            if not spec.one_zone and sum(p.idle(spec, shape) for p in parts) >= spec.tasks:
+                left = spec.tasks
+                for part in parts:
+                    left -= part.take_most(spec, left)
+            elif parts and parts[0].idle(spec, shape) >= spec.tasks:
+                parts[0].take_most(spec, spec.tasks)
+            else:
+                out.append((job_id, job))
+        return out
+
     def _place_each(
         self,
         waiting: list[tuple[JobId, JobRecord]],
@@ -602,6 +629,24 @@
                     draft.grants[zone] = draft.granted(zone) | set(mine)
                 self._spend(spec, total, usage)
 
+    def _let_gangs_first(
+        self, wall: Seconds, ordered: list[tuple[JobId, JobRecord, int]]
+    ) -> list[tuple[JobId, JobRecord, int]]:
+        """Without the work of which users expect nothing, while gangs wait of which they do:
+        its singles would take each room before it is large enough for a gang."""
+        jobs = [self._job(j) for j in self.mirror.live_jobs]
+        waits = any(
+            job.spec.gang and job.open and job.gang is None and job.spec.bundle in self._aimed
+            for job in jobs
+        )
+        if not waits:
+            return ordered
+        return [
+            entry
+            for entry in ordered
+            if entry[1].spec.bundle in self._aimed or wall - entry[1].at > UNAIMED_WAIT_S
+        ]
+
     def _queue_room(self, rooms: list[PartRooms]) -> dict[Zone, int]:
         room = {}
         for part in rooms:
--- a/src/dapplewick/core/model.py
+++ b/src/dapplewick/core/model.py
@@ -221,8 +221,7 @@
     """Slots to hold for `count` tasks until they are idle, and whether to stop work of lower
     priority for them because waiting would take longer than `patience`. Slots that would be
     busy for longer than `limit` are left alone."""
-    options: list[tuple[Seconds, tuple[float, ...], int, View]] = []
-    natural_of: dict[MachineId, Seconds] = {}
+    options: list[tuple[float, Seconds, tuple[float, ...], int, View]] = []
     for n, view in enumerate(views):
         if not view.allows(spec):
             continue
@@ -230,15 +229,17 @@
         if times is None:
             continue
         natural, forced = times
-        natural_of[view.id] = natural
         wait = natural if natural <= patience else max(forced, patience)
         if wait > limit:
             continue
-        options.append((wait + view.queued, spare_key(view, spec), n, view))
-    options.sort(key=lambda o: o[:3])
+        if forced >= natural:
+            wait += view.queued  # who waits there has to wait longer; nobody who is stopped does
+        spare_gpus = view.capacity.gpus if spec.gpus == 0 else 0.0
+        options.append((spare_gpus, wait, spare_key(view, spec), n, view))
+    options.sort(key=lambda o: o[:4])
     chosen: list[View] = []
     preempt = False
-    for _, _, _, view in options:
+    for *_, view in options:
         saved = view.free
         while len(chosen) < count:
             times = view.room_in(spec)
--- a/tests/test_growth.py
+++ b/tests/test_growth.py
@@ -14,13 +14,15 @@
 from msgspec.structs import replace
 
 import standins
+from dapplewick.config import Objective
 from dapplewick.core.estimates import Estimates
 from dapplewick.core.leader import LeaderCore
-from dapplewick.protocol.wire import types_value
+from dapplewick.core.part import PartCore
+from dapplewick.protocol.wire import MachineType, Report, types_value
 from dapplewick.storage.client import batches
 from dapplewick.storage.records import TYPES, GangPlace, JobRecord, Mirror
-from dapplewick.types import JobId, MachineId, Revision, Token
-from test_four_points import KIND, Bench, spec
+from dapplewick.types import JobId, MachineId, Revision, Token, TypeName
+from test_four_points import KIND, ZONE, Bench, spec
 
 
 def calls(work: Callable[[], Any]) -> int:
@@ -212,3 +214,54 @@
     assert [c.key for c in changes] == ["dw/m/r-9-1", "dw/b/r-9-1"]
     assert set(changes[0].value["machines"]) == {"vm-1", "vm-2"}
     assert changes[1].value is None
+
+
+def test_work_without_aims_lets_gangs_with_some_go_first_but_not_for_ever() -> None:
+    """Long singles of which users expect nothing took each room before it was large enough
+    for a gang: gangs waited 233 s at the median, those singles 78 s."""
+    bench = Bench(2)
+    for name in bench.names:
+        bench.report(name, 0.0)
+    told = standins.settings("n0")
+    told.deployment.objectives = [Objective(kind="wait", class_="gangs", within_s=10.0)]
+    bench.mirror.put("dw/p/a", {"owner": "n0", "boot": "x"}, int(bench.core.token))
+    leader = LeaderCore(bench.mirror, told, Estimates(), Token(9), 0.0)
+    waits = replace(spec(9, 4.0, 30.0, gang=True), bundle="gangs")
+    bench.put("dw/j/run-g", JobRecord(waits, 0.0).dump())
+    bench.put("dw/j/run-s", JobRecord(spec(2, 1.0, 100.0), 0.0).dump())
+
+    def granted(now: float) -> bool:
+        leader.part_status(now, bench.core.status(now))
+        return any(c.key == "dw/j/run-s" for c in leader.plan(now, now))
+
+    assert not granted(10.0)
+    assert granted(100.0)
+
+
+def test_gangs_wait_for_plain_machines_that_are_coming() -> None:
+    """At the start of a day gangs of high priority took the machines with accelerators, which
+    were up a few seconds sooner, and kept most accelerators idle for minutes."""
+    kinds = [KIND, MachineType(name="g", cpus=4.0, gpus=2.0, ram=64.0, zones=["a"])]
+    bench = Bench(0)
+    bench.put(TYPES, types_value(kinds))
+    bench.put("dw/m/r-1", {"type": "g", "zone": "a", "spot": False, "machines": {"vm-1": "u"}})
+    bench.put("dw/m/r-2", {"type": "k", "zone": "a", "spot": False, "machines": {"vm-2": "b9"}})
+    bench.core = PartCore(ZONE, bench.core.token, bench.mirror, Estimates(), 0.0)
+    said = Report(
+        MachineId("vm-1"), TypeName("g"), ZONE, False, 1, 1, bench.core.token, None, "", []
+    )  # fmt: skip
+    bench.core.report(9.0, said, True)
+    scans = replace(spec(9, 2.0, 30.0), gpus=1.0, types=["g"])
+    bench.put("dw/j/run-s", JobRecord(scans, 9.0).dump())
+    gang = replace(spec(1, 3.0, 30.0, gang=True), rank=2)
+    bench.put("dw/j/run-g", JobRecord(gang, 9.0).dump())
+    leader = leader_of(bench, 9.0)
+
+    def placed(now: float) -> bool:
+        bench.core.tick(now)
+        leader.part_status(now, bench.core.status(now))
+        return any(c.key == "dw/j/run-g" for c in leader.plan(now, now))
+
+    assert not placed(10.0)
+    bench.mirror.remove("dw/m/r-2", 10_000)
+    assert placed(11.0)
