--- a/src/dapplewick/core/part.py
+++ b/src/dapplewick/core/part.py
@@ -758,10 +758,17 @@
             self._put_in(task, slot)
             machine.idle_since = now
             return True
-        queues = [s for m in able for s in m.slots if len(s.queue) < MAX_QUEUE]
+        queues = [
+            (len(s.queue), cold, s)
+            for m in able
+            for cold in [spec.image not in m.images]
+            for s in m.slots
+            if len(s.queue) < MAX_QUEUE
+        ]
         if not queues:
             return False
-        shortest = min(queues, key=lambda s: len(s.queue))
+        # Of the shortest, one where the image is: fetching takes longer than many tasks run.
+        shortest = min(queues, key=lambda q: q[:2])[2]
         self.queues.join(shortest, task)
         single.queue = shortest
         return True
@@ -825,10 +832,12 @@
         return max(left, OVERRUN * (now - live.running_at))
 
     def _fitting(self, now: Seconds, machine: Machine, jobs: Iterable[JobId]) -> dict[JobId, None]:
-        """The jobs of which a single may start on this machine now, in the order given."""
+        """The jobs of which a single may start on this machine now, those first whose image
+        is there: among queues that are equally long it decides."""
         held = self.held_size(machine.id)
         rooms: dict[tuple[bool, int], Size] = {}
-        out: dict[JobId, None] = {}
+        warm: dict[JobId, None] = {}
+        cold: dict[JobId, None] = {}
         for job_id in jobs:
             job = self.mirror.jobs.get(job_id)
             if job is None or not self._allowed(job.spec, machine):
@@ -842,8 +851,8 @@
                 continue
             beside = held is NOTHING or job.size.fits(room.minus(held))
             if beside or self._passes(now, spec, machine):
-                out[job_id] = None
-        return out
+                (warm if spec.image in machine.images else cold)[job_id] = None
+        return warm | cold
 
     def _next(
         self,
--- a/tests/test_four_points.py
+++ b/tests/test_four_points.py
@@ -473,3 +473,18 @@
     tasks = [TaskReport(t, a, "exited", "halted", False) for t, a in halted.items()]
     said = Report(short, TypeName("k"), ZONE, False, 1, bench.seq, TOKEN, None, "", tasks)
     assert starts(bench.core.report(3.0, said, True)) == []
+
+
+def test_among_equally_short_queues_a_single_joins_where_its_image_is() -> None:
+    bench = Bench(6)
+    for name in bench.names:
+        bench.report(name, 0.0)
+    for n, name in enumerate(bench.names):
+        asked = replace(spec(1, 4.0, 30.0), image=f"img-{n}")
+        bench.grant(f"run-{n}", asked, 0.0)
+        bench.report(name, 1.0)
+        bench.report(name, 1.5)
+    bench.grant("run-w", replace(spec(1, 4.0, 30.0), image="img-4"), 2.0)
+    bench.core.tick(2.0)
+    (queued,) = [m for m in bench.core.machines.values() if any(s.queue for s in m.slots)]
+    assert "img-4" in queued.images
