--- a/src/dapplewick/core/part.py
+++ b/src/dapplewick/core/part.py
@@ -65,7 +65,6 @@
 DEAF_AGAIN = 4.0  # leases within which a second session ends on a machine that hears nothing
 FORGET_S = 5.0  # a stored result is forgotten with the next orders, or after this time
 FORGET_MOST = 16  # or when there are so many
-WARM_SHARE = 2.0  # slots with an image are shared with others' work: they come this much later
 FAULTY = 4  # failures in a row, of different jobs, that make a machine suspect
 SLOW_TICK_S = 1.0  # what looks at all machines, holds and waiting singles is done this often
 
@@ -102,9 +101,6 @@
         self.later: list[TaskRef] = []
         self.done_gangs: dict[JobId, int] = {}
         self._pace: dict[JobId, tuple[float, int]] = {}
-        self._worth: dict[tuple[JobId, str], bool] = {}  # for one tick
-        self._cold_since: dict[JobId, Seconds] = {}  # when a fetch was first put off
-        self._image_at: dict[str, int] = {}  # on how many machines each image is
         self._unsure = False  # whether any single may be on a machine not yet heard
         self._slow_at = -1e9
         self._few = False  # whether few idle slots of the gangs' size are left
@@ -151,7 +147,6 @@
                     self.queues.loose.append(task)
             if not singles:
                 del self.singles[job_id]
-                self._cold_since.pop(job_id, None)
             self.touched.job(job_id)
         self._gang_changed(now, job_id, job, takeover)
         self.dirty = True
@@ -211,7 +206,6 @@
         self.unheard.discard(machine_id)
         machine = self.machines.pop(machine_id, None)
         if machine is not None:
-            self._forget_images(machine)
             self._requeue_slots(machine)
             for task in list(machine.live):
                 self._gone(now, machine, task, "machine gone")
@@ -261,7 +255,7 @@
             self.touched.machine(machine.id)
             self.unheard.discard(report.machine)
         if new_session:
-            self._forget_images(machine)
+            machine.images.clear()
         orders = self._take_tasks(now, machine, report, settles, new_session)
         if settles:
             self._settle_unsure(now)
@@ -293,11 +287,6 @@
         machine.stored = {}
         return orders
 
-    def _forget_images(self, machine: Machine) -> None:
-        for image in machine.images:
-            self._image_at[image] -= 1
-        machine.images.clear()
-
     def _note_usable(self, now: Seconds, machine: Machine) -> bool:
         usable = self._usable(now, machine)
         if usable != machine.was_usable:
@@ -308,7 +297,6 @@
 
     def tick(self, now: Seconds, wall: Seconds = 0.0) -> None:
         """Time has passed."""
-        self._worth.clear()
         if self.later:
             ready = [t for t in self.later if self._not_before(t) <= now]
             if ready:
@@ -493,10 +481,7 @@
             live.sent = False
             live.stage = item.stage
             if live.spec is not None and item.stage in ("fetching", "running", "gathering"):
-                image = live.spec.image
-                if image not in machine.images:
-                    machine.images[image] = None
-                    self._image_at[image] = self._image_at.get(image, 0) + 1
+                machine.images[live.spec.image] = None
             if item.stage == "running" and live.running_at is None:
                 live.running_at = now
             if item.stage == "exited":
@@ -737,27 +722,23 @@
                 able[task.job] = [
                     m for m in usable if self._allowed(spec, m) and size.fits(m.capacity)
                 ]
-            if not self._join(now, task, single, self.mirror.jobs[task.job], able[task.job]):
+            if not self._join(now, task, single, spec, able[task.job]):
                 stuck.add((task.job, single.fails))
                 loose.append(task)
 
     def _join(
-        self, now: Seconds, task: TaskRef, single: Single, job: JobRecord, able: list[Machine]
+        self, now: Seconds, task: TaskRef, single: Single, spec: JobSpec, able: list[Machine]
     ) -> bool:
         """A single joins an idle slot, else a held one that it passes, else the shortest queue."""
         if len(able) > SAMPLE:
             able = self.random.sample(able, SAMPLE)
-        spec, size = job.spec, job.size
+        size = spec.size
         best: tuple[tuple[float, ...], Machine] | None = None
         fits: list[Machine] = []
         for machine in able:
             free = self._free_for(machine, spec)
             if not size.fits(free):
                 continue
-            if spec.image not in machine.images and self._worth_waiting(
-                now, task.job, job, machine
-            ):
-                continue
             fits.append(machine)
             if not size.fits(free.minus(self.held_size(machine.id))):
                 continue
@@ -870,33 +851,9 @@
                 continue
             beside = held is NOTHING or job.size.fits(room.minus(held))
             if beside or self._passes(now, spec, machine):
-                if spec.image in machine.images:
-                    warm[job_id] = None
-                elif not self._worth_waiting(now, job_id, job, machine):
-                    cold[job_id] = None
+                (warm if spec.image in machine.images else cold)[job_id] = None
         return warm | cold
 
-    def _worth_waiting(self, now: Seconds, job_id: JobId, job: JobRecord, machine: Machine) -> bool:
-        """Whether its singles had better wait for slots where their image is than have it
-        fetched here: a machine's slot is of no use to anyone while it fetches."""
-        key = (job_id, machine.type)
-        worth = self._worth.get(key)
-        if worth is None:
-            spec = job.spec
-            kind = self.mirror.types.get(machine.type)
-            places = self._image_at.get(spec.image, 0)
-            worth = False
-            if kind is not None and kind.fetch_rate > 0.0 and places:
-                slots = places * max(1, job.size.times_in(machine.capacity))
-                waiting = self.queues.count(job_id)
-                wait = WARM_SHARE * self.estimates.run_time(spec) * waiting / slots
-                fetch = spec.image_gb / kind.fetch_rate
-                # Whatever was expected, no job waits for longer than the fetch would take.
-                since = self._cold_since.setdefault(job_id, now)
-                worth = wait < fetch and now - since < fetch
-            self._worth[key] = worth
-        return worth
-
     def _next(
         self,
         now: Seconds,
--- a/src/dapplewick/core/part_state.py
+++ b/src/dapplewick/core/part_state.py
@@ -166,11 +166,6 @@
             self._left(slot, task)
         return tasks
 
-    def count(self, job: JobId) -> int:
-        """How many of its singles wait."""
-        queued = sum(self._of_job.get(job, {}).values())
-        return queued + sum(task.job == job for task in self.loose)
-
     def waiting_jobs(self) -> dict[JobId, None]:
         return dict.fromkeys([*self._of_job, *(task.job for task in self.loose)])
 
