--- a/tests/test_days.py
+++ b/tests/test_days.py
@@ -344,3 +344,37 @@
     assert seen["before"][0]  # type: ignore[index]
     assert seen["after"] != seen["before"][1]  # type: ignore[index]
     assert seen["kept"] == 1.0
+
+
+def test_after_all_controllers_returned_at_once_every_job_is_answered_soon() -> None:
+    """A job about which no question is answered for 75 s counts as forgotten."""
+    world = World(9)
+    late: dict[str, float] = {}
+
+    async def script() -> None:
+        await anyio.sleep(3)
+        for n in range(25):
+            body = world.job(name_id=f"run-{n:06d}", pieces=4, true_s=20.0, crew="red")
+            world.group.start_soon(world.user, body["name_id"], body, None)
+        await anyio.sleep(20)
+        for name in world.names:
+            world.crash(name)
+        await anyio.sleep(0.2)
+        for name in world.names:
+            world.start_node(name)
+        back = now()
+        for job in sorted(world.accepted):
+            for node in world.names:
+                request = Request("GET", f"/v2/runs/{job}", b"", False)
+                while (answer := await world.nodes[node].handle(request)).status != 200:
+                    assert answer.status == 503 and answer.retry_after
+                    await anyio.sleep(0.5)
+                late[f"{job} {node}"] = now() - back
+
+    async def main() -> None:
+        await world.play(90.0, script)
+
+    run_day(main)
+    assert world.broken == []
+    assert len(world.accepted) == 25 and len(late) == 75
+    assert max(late.values()) < 30.0
