--- a/tests/test_days.py
+++ b/tests/test_days.py
@@ -217,6 +217,22 @@
     return world
 
 
+def run_script(world: World, length: float, script: Callable[[], Awaitable[None]]) -> None:
+    """Play a day with a script beside it, in virtual time."""
+
+    async def main() -> None:
+        await world.play(length, script)
+
+    run_day(main)
+
+
+def hand_in(world: World, count: int, **fields: object) -> None:
+    """Users hand in jobs that are alike, from run-000000 on."""
+    for n in range(count):
+        body = world.job(name_id=f"run-{n:06d}", **fields)
+        world.group.start_soon(world.user, body["name_id"], body, None)
+
+
 FAULTS = [
     quiet, one_crash, all_crash, roll, quick_restarts, refused_by_state, cut_from_state,
     cut_from_workers, state_outage, lost_answers, cloud_outage, bad_machines, everything,
@@ -281,10 +297,7 @@
             answer = await node.handle(Request(method, path, data, False))
             answers.append((answer.status, json.loads(answer.body).get("stage", "")))
 
-    async def main() -> None:
-        await world.play(8.0, script)
-
-    run_day(main)
+    run_script(world, 8.0, script)
     assert [status for status, _ in answers] == [201, 200, 200, 404, 200]
     assert answers[-1][1] == "withdrawn"
 
@@ -296,19 +309,14 @@
 
     async def script() -> None:
         await anyio.sleep(3)
-        for n in range(2):
-            body = world.job(name_id=f"run-{n:06d}", pieces=16, true_s=15.0, cpus=4.0, crew="red")
-            world.group.start_soon(world.user, body["name_id"], body, None)
+        hand_in(world, 2, pieces=16, true_s=15.0, cpus=4.0, crew="red")
         await anyio.sleep(20)
         seen["deaf"] = sorted(world.workers)[0]
         world.workers[sorted(world.workers)[0]].deaf = True
         await anyio.sleep(45)
         seen["kept"] = seen["deaf"] in world.workers
 
-    async def main() -> None:
-        await world.play(100.0, script)
-
-    run_day(main)
+    run_script(world, 100.0, script)
     assert world.broken == []
     assert seen["kept"] is False
     assert set(world.told.values()) == {"done"}
@@ -321,9 +329,7 @@
 
     async def script() -> None:
         await anyio.sleep(3)
-        for n in range(3):
-            body = world.job(name_id=f"run-{n:06d}", pieces=12, true_s=60.0, cpus=4.0, crew="red")
-            world.group.start_soon(world.user, body["name_id"], body, None)
+        hand_in(world, 3, pieces=12, true_s=60.0, cpus=4.0, crew="red")
         await anyio.sleep(27)
         node = world.nodes["n0"]
         heard = {z: sum(w.zone == z for w in world.workers.values()) for z in node.mirror.parts}
@@ -336,10 +342,7 @@
         seen["after"] = world.nodes["n0"].mirror.parts[zone].owner
         seen["kept"] = len(machines & world.workers.keys()) / len(machines)
 
-    async def main() -> None:
-        await world.play(60.0, script)
-
-    run_day(main)
+    run_script(world, 60.0, script)
     assert world.broken == []
     assert seen["before"][0]  # type: ignore[index]
     assert seen["after"] != seen["before"][1]  # type: ignore[index]
@@ -353,9 +356,7 @@
 
     async def script() -> None:
         await anyio.sleep(3)
-        for n in range(25):
-            body = world.job(name_id=f"run-{n:06d}", pieces=4, true_s=20.0, crew="red")
-            world.group.start_soon(world.user, body["name_id"], body, None)
+        hand_in(world, 25, pieces=4, true_s=20.0, crew="red")
         await anyio.sleep(20)
         for name in world.names:
             world.crash(name)
@@ -371,10 +372,7 @@
                     await anyio.sleep(0.5)
                 late[f"{job} {node}"] = now() - back
 
-    async def main() -> None:
-        await world.play(90.0, script)
-
-    run_day(main)
+    run_script(world, 90.0, script)
     assert world.broken == []
     assert len(world.accepted) == 25 and len(late) == 75
     assert max(late.values()) < 30.0
