Meetings: late writes, epochs, late copies and outages no longer mislead a controller

The epoch is doubted until its key has changed. - A leader that found its old key after an outage named bookings and attempts as before. - A write planned under one epoch took the epoch of whatever leader the mirror showed by then. - A new leader read nothing after its election. - A late presence record of an earlier boot took a controller out for good. - A late copy of a report told a new owner where a task is; it was started a second time when that machine did not list it. - After an outage longer than leases all machines were silent, idle or deaf by their age alone. - In an outage leases ended for safety although every controller could say what it had told; cancellations are now told among controllers, and the age counts from the question. - A job bound to a zone where none of its types is offered was accepted.

--- a/src/dapplewick/api.py
+++ b/src/dapplewick/api.py
@@ -106,8 +106,16 @@
             return "unknown zone"
         names = spec.types if spec.types is not None else list(self.world.mirror.types)
         types = [t for name in names if (t := self.world.mirror.types.get(name)) is not None]
-        if not any(spec.size.fits(t.size) for t in types):
+        fitting = [t for t in types if spec.size.fits(t.size)]
+        if not fitting:
             return "a task fits no allowed machine type"
+        # A type that names no zones is offered in all of them.
+        zones = {z for t in fitting for z in t.zones or self.deployment.zones}
+        zones &= set(self.deployment.zones if spec.zone is None else [spec.zone])
+        if not zones:
+            return "no allowed machine type is offered in its zone"
+        if spec.gang and len(zones) * spec.zone_cap < spec.tasks:
+            return "a gang can't be spread over so few zones"
         if spec.gang and spec.zone_cap < spec.tasks and (spec.one_zone or spec.zone is not None):
             return "a gang can't be both in one zone and spread over several"
         together = spec.tasks if spec.gang else 1
--- /dev/null
+++ b/src/dapplewick/coordination/cancellations.py
@@ -0,0 +1,78 @@
+"""What a controller knows of cancellations while it can't read the records.
+
+A worker's lease may be kept up only by a controller that can't have missed a cancellation for
+long. The records tell of all of them; in an outage nobody reads these. But users are told of a
+cancellation only by controllers, and each of them has it in its mirror before it tells. So once
+every other controller has listed all that its mirror has, none told before can be missed.
+
+How old that is counts from when the question was sent: messages carry the sender's time, and the
+answer names the newest time that it had heard. A lost message, a peer that is not heard, or one
+that has not read the records since it started leaves the age growing; nothing rests on speed.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+from typing import Any
+
+from dapplewick.storage.records import Mirror
+from dapplewick.types import JobId, NodeName, Revision, Seconds
+
+HEARD_S = 10.0  # a peer not heard for longer is not waited for with what it has not read
+LISTED_MOST = 2000  # cancellations in one message; with more of them it assures nothing
+
+
+class CancellationWatch:
+    """One controller's side of the exchange; a state machine without I/O."""
+
+    def __init__(self, boot: str, peers: Iterable[NodeName], count: int) -> None:
+        self._boot = boot
+        self._peers = frozenset(peers)
+        # Who is not named among the peers can't be asked, and may tell users of cancellations.
+        self._all_named = len(self._peers) + 1 >= count
+        self._questions: dict[NodeName, tuple[str, Seconds]] = {}
+        self._revisions: dict[NodeName, tuple[Seconds, Revision]] = {}
+        self._answered: dict[NodeName, Seconds] = {}
+
+    def message(self, now: Seconds, mirror: Mirror, ready: bool) -> dict[str, Any]:
+        """What to tell the peers now; at the same time a question to them."""
+        read = [r for at, r in self._revisions.values() if now - at < HEARD_S]
+        since = min(read, default=mirror.revision)
+        listed = mirror.cancellations(since)
+        if len(listed) > LISTED_MOST:
+            ready = False
+        return {
+            "at": now,
+            "boot": self._boot,
+            "revision": mirror.revision,
+            "heard": {node: list(question) for node, question in self._questions.items()},
+            # Whether the list is all that is known here and is newer than `since`.
+            "complete": ready,
+            "since": since,
+            "cancelled": [[version, job] for version, job in listed] if ready else [],
+        }
+
+    def hear(
+        self, now: Seconds, me: NodeName, peer: NodeName, said: dict[str, Any], mirror: Mirror
+    ) -> None:
+        """A peer's message; what it lists goes into the mirror. Raises if it is malformed."""
+        if peer not in self._peers or "heard" not in said:
+            return  # not of this deployment, or of a version that knows nothing of this
+        cancelled = [(int(version), JobId(str(job))) for version, job in said["cancelled"]]
+        asked = said["heard"].get(me)
+        boot, at = (str(asked[0]), float(asked[1])) if asked is not None else ("", 0.0)
+        question = (str(said["boot"]), float(said["at"]))
+        since, revision = int(said["since"]), Revision(int(said["revision"]))
+        self._questions[peer] = question
+        self._revisions[peer] = (now, revision)
+        for version, job in cancelled:
+            mirror.told_cancelled(job, version)
+        # A list that begins after what we have read may lack some.
+        if said["complete"] is True and boot == self._boot and since <= mirror.revision:
+            self._answered[peer] = max(at, self._answered.get(peer, at))
+
+    def known_at(self, now: Seconds) -> Seconds:
+        """Every cancellation that another controller had told by this time is known here."""
+        if not self._all_named:
+            return -1e9
+        return min((self._answered.get(peer, -1e9) for peer in self._peers), default=now)
--- a/src/dapplewick/core/leader.py
+++ b/src/dapplewick/core/leader.py
@@ -204,13 +204,7 @@
         if draft is not None:
             self._draft[job_id] = (draft[0], min(rank, draft[1]))
             return draft[0]
-        old = self.mirror.jobs[job_id]
-        job = JobRecord(old.spec, old.at)
-        job.stage = old.stage
-        job.done = set(old.done)
-        job.grants = {zone: set(tasks) for zone, tasks in old.grants.items()}
-        job.gang = old.gang
-        job.version = old.version
+        job = self.mirror.jobs[job_id].copy()
         self._draft[job_id] = (job, rank)
         return job
 
--- a/src/dapplewick/core/part.py
+++ b/src/dapplewick/core/part.py
@@ -92,8 +92,8 @@
         self.mirror = mirror
         self.estimates = estimates
         self.threshold = (tuning or Tuning()).threshold_s
-        self.started = now
         self._lease_s = lease_s
+        self.refused = now  # when reports were last refused here, or this ownership began
         self.random = random.Random(seed ^ token)
         self.machines: dict[MachineId, Machine] = {}
         self.singles: dict[JobId, dict[int, Single]] = {}
@@ -220,6 +220,10 @@
         self._settle_unsure(now)
         self.dirty = True
 
+    def refuse(self, now: Seconds) -> None:
+        """Reports are refused now: that machines are not heard says nothing of them."""
+        self.refused = now
+
     def report(self, now: Seconds, report: Report, may_launch: bool) -> list[Order]:
         """Handle a worker's report; gives the orders for its machine."""
         if report.machine not in self.mirror.machines:
@@ -230,7 +234,7 @@
         if (report.session, report.seq) <= machine.newest:
             return []
         new_session = report.session > machine.newest[0]
-        if new_session and machine.heard:
+        if new_session and machine.heard and machine.settled > self.refused:
             # A lease that ended while we answered its reports: the answers don't reach it. It
             # asks all controllers in turn, so its reports here may also be a lease apart; then
             # the second end soon after the first tells.
@@ -260,6 +264,7 @@
             self.unheard.discard(report.machine)
         if new_session:
             self.images.clear(machine)
+        had = bool(machine.live)
         orders = self._take_tasks(now, machine, report, settles, new_session)
         if settles:
             self._settle_unsure(now)
@@ -272,7 +277,8 @@
         if machine.stored:
             orders = self._forget_stored(now, machine, bool(orders)) + orders
         busy = any(live.stage != "exited" for live in machine.live.values())
-        if busy or self._held_on(machine.id):
+        # One that lost its tasks only now, as with its lease in an outage, is not idle yet.
+        if busy or (had and not machine.live) or self._held_on(machine.id):
             machine.idle_since = now
         return orders
 
@@ -463,6 +469,9 @@
     def _take_tasks(
         self, now: Seconds, machine: Machine, report: Report, settles: bool, new_session: bool
     ) -> list[Order]:
+        """Take over what a report lists. One from before our token may be a late copy, and the
+        task may long be elsewhere: it settles nothing, neither that a task is here nor that it
+        is gone. What it shows counts as room taken until a newer one tells."""
         orders: list[Order] = []
         lives = machine.live
         if settles:
@@ -488,12 +497,9 @@
                 self.images.add(machine, live.spec.image)
             if item.stage == "running" and live.running_at is None:
                 live.running_at = now
-            if item.stage == "exited":
-                # A report from before our token may be a late copy: a newer start of the same
-                # task may have followed what it tells, so it frees nothing.
-                if settles:
-                    orders += self._exited(now, machine, item, live)
-            else:
+            if settles and item.stage == "exited":
+                orders += self._exited(now, machine, item, live)
+            elif settles:
                 self._present(now, machine, item)
         if settles:
             for job_id, hold in self._holds_on.get(machine.id, {}).items():
@@ -1085,7 +1091,10 @@
                 )
             else:
                 single = self._single(task)
-                wanted = single is not None and single.machine == machine.id
+                # What was granted before this ownership may be this one, until all are heard.
+                wanted = single is not None and (
+                    single.machine == machine.id or single.state == UNSURE
+                )
             orderly = spec.checkpoint > 0 and live.stage == "running"
             leaving = machine.notice is not None and orderly and not spec.gang
             if wanted and not leaving and task not in preempt:
--- a/src/dapplewick/core/part_status.py
+++ b/src/dapplewick/core/part_status.py
@@ -75,7 +75,9 @@
         if record is None:
             continue
         # What never learns our token hears nothing of what we say, however often it reports.
-        quiet = now - max(m.settled, core.started)
+        # While reports are refused here, as in a long outage, no machine is silent for that: all
+        # of them were deleted when the state service was back.
+        quiet = now - max(m.settled, core.refused)
         if quiet > QUIET_S:
             silent[m.id] = (round(quiet, 1), core.cancelled_there(m))
         if record.up and not record.doomed and (heard_ago < 0.0 or quiet < heard_ago):
--- a/src/dapplewick/node.py
+++ b/src/dapplewick/node.py
@@ -14,6 +14,7 @@
 
 from dapplewick.api import NO_METHOD, NO_PATH, PATH, Api
 from dapplewick.config import Settings, host_port
+from dapplewick.coordination.cancellations import CancellationWatch
 from dapplewick.coordination.parts import PartAssigner
 from dapplewick.core.estimates import Estimates
 from dapplewick.core.leader import LeaderCore
@@ -34,6 +35,7 @@
     batches,
 )
 from dapplewick.storage.records import (
+    CANCELLED,
     JOBS,
     LEADER,
     NODES,
@@ -63,6 +65,7 @@
 IDLE_S = 0.5  # and without a part
 STATUS_IDLE_S = 1.5
 GOSSIP_S = 1.0
+GOSSIP_LEAST_S = 0.1  # and after a cancellation this soon
 CONTACT_S = 2.5  # a node that reached the state service in this time says so to its peers
 ASK_WITHIN_S = 1.0
 UNHEALTHY_S = 5.0  # and one that did not for so long, while a peer did, is not healthy
@@ -153,6 +156,11 @@
         self._peer_state: dict[NodeName, tuple[Seconds, bool]] = {}
         self._heard_parts: dict[Zone, tuple[Token, NodeName]] = {}
         self._running: dict[NodeName, dict[JobId, int]] = {}
+        self.cancellations = CancellationWatch(self.boot, self.links, deployment.count)
+        self._gossip_wake = anyio.Event()
+        self._read_epoch = Token(0)  # the epoch after whose beginning the records were read
+        self._planned_epoch = Token(0)  # the newest under which this process planned
+        self._doubted_epoch = Token(0)  # one under which a write may still come late
         self._next_check: Check | None = None
         self._check_wake = anyio.Event()
         self._leader_wake = anyio.Event()
@@ -214,6 +222,9 @@
     def stored(self, key: str, value: object, version: int) -> None:
         """A write of our own is known done."""
         self.mirror.put(key, value, version)
+        if key.startswith(JOBS) and isinstance(value, dict) and value.get("stage") == CANCELLED:
+            # Owners that can't read the records stop its tasks sooner; no rule rests on it.
+            self._gossip_wake.set()
         self._apply_changed()
 
     async def _load(self) -> None:
@@ -288,11 +299,17 @@
         while True:
             sent = self.now()
             try:
+                if self.lease is not None and self._record_lost():
+                    log.info("event=presence_lost node=%s", self.me)
+                    self.lease = None
                 if self.lease is None:
                     lease = await self.state.new_lease(int(TTL_S * 1000))
-                    value = {"boot": self.boot, "zone": self.settings.zone}
                     key = NODES + self.me
-                    version = await self.state.txn({}, {key: value}, leases={key: lease})
+                    # A late write of an earlier boot, or of ours without an answer, replaces
+                    # only what it knew of: without the condition it took a controller out.
+                    _, before = await self.state.get(key)
+                    value = {"boot": self.boot, "zone": self.settings.zone}
+                    version = await self.state.txn({key: before}, {key: value}, leases={key: lease})
                     self.lease = lease
                     self.stored(key, value, version)
                 else:
@@ -300,16 +317,24 @@
                 # Counted from when the request was sent, less what clocks may drift.
                 self.lease_until = sent + TTL_S * 0.998 - 0.1
                 self.contact_at = self.now()
-            except (NoLease, Conflict):
+            except NoLease:
                 log.info("event=lease_lost node=%s", self.me)
                 self.lease = None
                 continue
+            except Conflict:
+                await anyio.sleep(0.05 + self.random.random() * 0.1)
+                continue
             except (Refused, Unknown) as err:
                 log.debug("event=renew_failed error=%s", err)
                 await anyio.sleep(0.3 + self.random.random() * 0.2)
                 continue
             await anyio.sleep(RENEW_S)
 
+    def _record_lost(self) -> bool:
+        """Whether another life of this controller has overwritten its presence."""
+        record = self.mirror.nodes.get(self.me)
+        return self.ready and (record is None or record.boot != self.boot)
+
     def _leads(self) -> bool:
         record = self.mirror.leader
         return (
@@ -328,8 +353,8 @@
         if self.cores:
             # Controllers without a part lead by preference.
             await anyio.sleep(0.3 + self.random.random() * 0.2)
-            if self.mirror.leader is not None and not mine:
-                return
+            if self.mirror.leader is not record:
+                return  # another was quicker
         await self._write_leader()
 
     async def _write_leader(self) -> None:
@@ -372,8 +397,30 @@
         self.leader = None
         self.state.writes.rate = self._few_writes
 
-    async def _lead(self) -> None:
+    async def _settle_epoch(self) -> Token:
+        """The epoch under which to plan now.
+
+        A write without an answer may still come as long as the leader's key is what it was: no
+        plan is made on what it may change, also where writing the key anew failed at first.
+        A new term that finds its old key, as after an outage, begins a new epoch all the same:
+        attempts and bookings are named after it. And the records are read once after an epoch
+        has begun: until then an earlier leader, or an earlier life of this one, could write.
+        """
         epoch = Token(self.mirror.version(LEADER))
+        renamed = self.leader is None and epoch <= self._planned_epoch
+        if renamed or epoch == self._doubted_epoch:
+            await self._write_leader()
+            epoch = Token(self.mirror.version(LEADER))
+        if epoch != self._read_epoch:
+            await self.current()
+            if epoch != self.mirror.version(LEADER):
+                raise Refused("another epoch has begun")
+            self._read_epoch = epoch
+        return epoch
+
+    async def _lead(self) -> None:
+        epoch = await self._settle_epoch()
+        self._planned_epoch = max(self._planned_epoch, epoch)
         now = self.now()
         if self.leader is None:
             self.leader = LeaderCore(
@@ -385,7 +432,7 @@
         for zone, part in self.assigner.changes(now, self.leader.deaf_parts()).items():
             key = PARTS + zone
             value = {"owner": part.owner, "boot": part.boot}
-            await self._write([Change(key, value, self.mirror.version(key), 0)])
+            await self._write(epoch, [Change(key, value, self.mirror.version(key), 0)])
         for zone, core in self.cores.items():
             number = self.leader.part_status(now, core.status(now, self._base(zone, core)))
             self._confirm(zone, core.token, self.boot, number)
@@ -397,13 +444,16 @@
             log.debug("event=writes_put_off count=%d", len(changes) - room)
             changes = changes[:room]
         for batch in batches(changes, value_size, self.settings.deployment.state):
-            await self._write(batch)
+            await self._write(epoch, batch)
             self.leader.written(now, batch)
 
-    async def _write(self, changes: list[Change]) -> None:
-        """Write records as the leader: only as long as the epoch and the records still hold."""
-        epoch = self.mirror.version(LEADER)
-        conditions = {LEADER: epoch, **{c.key: c.version for c in changes}}
+    async def _write(self, epoch: Token, changes: list[Change]) -> None:
+        """Write records as the leader: only as long as the epoch and the records still hold.
+
+        The epoch is the one that was planned under. The mirror may show another leader's by
+        now, and a write under that would pass for the other's.
+        """
+        conditions = {LEADER: int(epoch), **{c.key: c.version for c in changes}}
         puts = {c.key: c.value for c in changes if c.value is not None}
         deletes = [c.key for c in changes if c.value is None]
         try:
@@ -415,7 +465,7 @@
             # The write may still be applied later. Writing the leader key anew ends that: the
             # write's condition on the old epoch can't hold any more. Then we look again.
             log.info("event=write_unknown keys=%d", len(changes))
-            await self._write_leader()
+            self._doubted_epoch = epoch
             raise
         log.debug("event=written revision=%d keys=%s", version, ",".join(conditions))
         for key, value in puts.items():
@@ -578,7 +628,10 @@
 
     async def _gossip_loop(self) -> None:
         while True:
-            await anyio.sleep(GOSSIP_S)
+            with anyio.move_on_after(GOSSIP_S):
+                await self._gossip_wake.wait()
+                await anyio.sleep(GOSSIP_LEAST_S)
+            self._gossip_wake = anyio.Event()
             running: dict[JobId, int] = {}
             for core in self.cores.values():
                 for job, count in core.running():
@@ -594,6 +647,7 @@
                 "running": running,
                 "parts": parts,
                 "state": self.now() - self.contact_at < CONTACT_S,
+                **self.cancellations.message(self.now(), self.mirror, self.ready),
             }
             for link in self.links.values():
                 link.post("node", message)
@@ -654,6 +708,8 @@
             for zone, (token, owner) in message["parts"].items():
                 if token > self._heard_parts.get(zone, (0, ""))[0]:
                     self._heard_parts[zone] = (Token(token), NodeName(owner))
+            self.cancellations.hear(self.now(), self.me, node, message, self.mirror)
+            self._apply_changed()
         return None
 
     def running_tasks(self, job: JobId) -> int:
@@ -687,15 +743,18 @@
         heard_token, heard_owner = self._heard_parts.get(zone, (Token(0), NodeName("")))
         if core is not None and core.token >= max(heard_token, report.token):
             workers = self.settings.deployment.workers
-            old = now - self.current_at
             # A cancellation that we can't see ends its tasks through the workers' leases: we
-            # keep them up only as long as that is still in time.
-            if old < workers.cancel_s - workers.lease_s - MARGIN_S:
-                may_launch = self.lease_valid() and old < CURRENT_S
+            # keep them up only as long as that is still in time. A lease counts from when the
+            # report was sent, so neither a report held back nor a process that stands still
+            # here adds to it; a hanging machine goes on only within it.
+            known_at = max(self.current_at, self.cancellations.known_at(now))
+            if now - known_at < workers.cancel_s - workers.lease_s - MARGIN_S:
+                may_launch = self.lease_valid() and now - self.current_at < CURRENT_S
                 orders = core.report(now, report, may_launch)
                 if core.dirty:
                     self._leader_wake.set()
                 return Answer(200, wire.report_answer(core.token, orders))
+            core.refuse(now)
             return Answer(503, b'{"error":"cut off"}', 1)
         part = self.mirror.parts.get(zone)
         owner = part.owner if part is not None else ""
--- a/src/dapplewick/storage/records.py
+++ b/src/dapplewick/storage/records.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import logging
+from bisect import bisect_right, insort
 from collections.abc import Callable, Iterator
 from typing import Any
 
@@ -84,6 +85,16 @@
         job.version = Revision(version)
         return job
 
+    def copy(self) -> JobRecord:
+        """A draft of its next version."""
+        job = JobRecord(self.spec, self.at)
+        job.stage = self.stage
+        job.done = set(self.done)
+        job.grants = {zone: set(tasks) for zone, tasks in self.grants.items()}
+        job.gang = self.gang
+        job.version = self.version
+        return job
+
     @property
     def done_count(self) -> int:
         return self.spec.tasks if self.stage == DONE else len(self.done)
@@ -172,6 +183,8 @@
         self.live_jobs: dict[JobId, None] = {}  # in the order in which they came
         self.changed_machines: list[MachineId] = []  # taken by whoever tells the cores
         self._gone: dict[str, int] = {}
+        self._cancellations: list[tuple[int, JobId]] = []  # in the order of their versions
+        self._told_cancelled: dict[JobId, int] = {}  # by peers, before the records came here
         self.listeners: list[Callable[[str], None]] = []
 
     def reload(self, items: dict[str, tuple[Any, int]], revision: int) -> None:
@@ -203,6 +216,13 @@
         name = key[len(ROOT) + 2 :]
         if key.startswith(JOBS):
             job = JobRecord.load(value, version)
+            if self._told_cancelled.get(JobId(name), 0) > version:
+                job.stage = CANCELLED  # an older version came after a peer told of a newer one
+            else:
+                self._told_cancelled.pop(JobId(name), None)
+            before = self.jobs.get(JobId(name))
+            if job.stage == CANCELLED and (before is None or before.stage != CANCELLED):
+                insort(self._cancellations, (version, JobId(name)))
             self.jobs[JobId(name)] = job
             if job.open or job.grants or job.gang:
                 self.live_jobs[JobId(name)] = None
@@ -265,6 +285,28 @@
         for listener in self.listeners:
             listener(key)
 
+    def cancellations(self, since: int) -> list[tuple[int, JobId]]:
+        """Every cancellation known here that is newer than a revision, with its version."""
+        return self._cancellations[bisect_right(self._cancellations, (since, "\U0010ffff")) :]
+
+    def told_cancelled(self, job_id: JobId, version: int) -> None:
+        """A peer that has read it tells of a cancellation. Until its record comes, the one that
+        is here counts as cancelled; its version stays, so nothing can be written over it."""
+        if self.versions.get(JOBS + job_id, 0) >= version:
+            return
+        job = self.jobs.get(job_id)
+        if self._told_cancelled.get(job_id, 0) >= version:
+            return
+        self._told_cancelled[job_id] = version
+        if job is None or not job.open:
+            return
+        job = job.copy()
+        job.stage = CANCELLED
+        self.jobs[job_id] = job
+        insort(self._cancellations, (version, job_id))
+        for listener in self.listeners:
+            listener(JOBS + job_id)
+
     def version(self, key: str) -> int:
         return self.versions.get(key, 0)
 
