--- a/src/dapplewick/core/leader.py
+++ b/src/dapplewick/core/leader.py
@@ -53,6 +53,7 @@
 LOAD_LOG_S = 10.0
 QUEUE_SHARE = 0.15  # singles queued in a part, beyond what fits, by running ones
 HOLD_SHARE = 0.25  # of its run time, or of its wait so far, a gang may hold idle slots
+STARVED_S = 60.0  # a job of which nothing started for so long has machines rented for it
 UNAIMED_WAIT_S = 90.0  # work without aims lets gangs with some go first for this long
 FLEET_S = 1.0  # renting and returning is thought about this often
 
@@ -780,6 +781,7 @@
             groups.setdefault(key, []).append(entry)
         for entries in groups.values():
             work, running, waiting, largest = 0.0, 0, 0, entries[0][1].spec
+            starved = 0.0
             horizon = self.tuning.horizon_s
             if largest.gpus > 0:
                 horizon = self.tuning.horizon_accelerator_s
@@ -792,11 +794,16 @@
                 mine = left + max(0, granted - placed)
                 waiting += mine
                 work += mine * self.estimates.run_time(job.spec)
+                if not placed and wall - job.at > STARVED_S:
+                    starved += mine * self.estimates.run_time(job.spec)
                 if mine and job.spec.cpus > largest.cpus:
                     largest = job.spec
             count = min(waiting, wanted_slots(work, running, horizon))
             if work > 0 and running == 0:
                 count = max(1, count)
+            if starved > 0:
+                # The slots that run now are not free again as soon as was thought.
+                count = max(count, min(waiting, wanted_slots(starved, 0, horizon)))
             if count > 0:
                 needs.append(Need(largest, count, False))
         if self.gangs.spec is not None and self.gangs.slots >= 0.5:
