--- a/tests/test_meetings.py
+++ b/tests/test_meetings.py
@@ -743,9 +743,9 @@
 
     async def script() -> None:
         await anyio.sleep(3)
-        hand_in(world, 1, pieces=4, true_s=900.0)
+        hand_in(world, 1, pieces=12, true_s=900.0)
         await anyio.sleep(22)
-        body = world.job(name_id="run-000009", pieces=4, true_s=5.0)
+        body = world.job(name_id="run-000009", pieces=2, cpus=8.0, true_s=5.0)
         world.group.start_soon(world.user, body["name_id"], body, None)
         at = now()
         while world.told.get("run-000009") != "done":
