--- a/tests/test_meetings.py
+++ b/tests/test_meetings.py
@@ -18,7 +18,22 @@
 from dapplewick.storage.records import LEADER
 from dapplewick.transport.http import Request
 from standins import WORKERS, World, now
-from test_days import hand_in, late_copies, owners, run_script, zone_cut
+from test_days import (
+    all_crash,
+    blinks,
+    cut_from_state,
+    deaf_machines,
+    hand_in,
+    late_copies,
+    one_crash,
+    owners,
+    play,
+    refused_by_state,
+    run_script,
+    stands_still,
+    state_outage,
+    zone_cut,
+)  # fmt: skip
 
 Script = Callable[[World], Awaitable[None]]
 Patch = Callable[[pytest.MonkeyPatch], None]
@@ -609,6 +624,61 @@
     assert len(before) > 3 and before <= after
 
 
+async def late_writes(world: World) -> None:
+    await anyio.sleep(20)
+    world.late_writes = 0.3
+    await anyio.sleep(60)
+    world.late_writes = 0.0
+
+
+async def slow_state(world: World) -> None:
+    await anyio.sleep(25)
+    world.slow = 80.0
+    await anyio.sleep(40)
+    world.slow = 1.0
+
+
+async def mute(world: World) -> None:
+    await anyio.sleep(22)
+    for worker in list(world.workers.values())[::2]:
+        worker.cut = True
+    await anyio.sleep(22)
+    for worker in world.workers.values():
+        worker.cut = False
+
+
+async def cancel_running(world: World) -> None:
+    """Users call off what runs, within a moment, and some of its machines hang for a while."""
+    await anyio.sleep(30)
+    running = sorted({n.split("/")[0] for _, n in world.on_machines()} - world.cancelled_at.keys())
+    hung = [w for w, n in world.on_machines() if n.split("/")[0] in running[:4]]
+    await cancel(world, next(iter(sorted(world.nodes))), running[:4])
+    for worker in hung:
+        worker.hanging = True
+    await anyio.sleep(12)
+    for worker in hung:
+        worker.hanging = False
+
+
+DRAWN: list[Script] = [
+    late_writes, slow_state, mute, cancel_running, all_crash, blinks, cut_from_state,
+    deaf_machines, late_copies, one_crash, refused_by_state, stands_still, state_outage, zone_cut,
+]  # fmt: skip
+
+
+@pytest.mark.parametrize("seed", range(41, 53))
+def test_a_drawn_pair_of_troubles_breaks_nothing(seed: int) -> None:
+    async def pair(world: World) -> None:
+        async with anyio.create_task_group() as group:
+            for fault in world.random.sample(DRAWN, 2):
+                group.start_soon(fault, world)
+        world.calm_at = now()
+
+    world = play(pair, seed, length=330.0, slow=2.5)
+    assert world.broken == []
+    assert finished(world) == {} and len(world.accepted) == 14
+
+
 # Ends that cross
 
 
