--- a/src/dapplewick/api.py
+++ b/src/dapplewick/api.py
@@ -11,7 +11,16 @@
 from dapplewick.config import Deployment
 from dapplewick.protocol.wire import JobSpec, Malformed, job_view, parse_submission
 from dapplewick.storage.client import Conflict, Refused, StateClient, Unknown
-from dapplewick.storage.records import CANCELLED, DONE, JOBS, JobRecord, Mirror
+from dapplewick.storage.records import (
+    CANCELLED,
+    DONE,
+    FORMAT_NOW,
+    JOBS,
+    JobRecord,
+    Mirror,
+    chunk_tasks,
+    size_of,
+)
 from dapplewick.transport.http import Answer, Request
 from dapplewick.types import JobId, Seconds
 
@@ -21,6 +30,7 @@
 TRIES = 4
 RETRY = 1
 
+NOT_YET = Answer(503, b'{"error":"services begin after the upgrade of all controllers"}', 5)
 UNAVAILABLE = Answer(503, b'{"error":"not available now"}', RETRY)
 NOT_FOUND = Answer(404, b'{"error":"no such job"}')
 NO_PATH = Answer(404, b'{"error":"no such path"}')
@@ -55,6 +65,7 @@
     def __init__(self, world: World, deployment: Deployment) -> None:
         self.world = world
         self.deployment = deployment
+        self.zones = deployment.zones
         self.teams = {t.name: t for t in deployment.teams}
 
     async def handle(self, request: Request) -> Answer | None:
@@ -97,6 +108,12 @@
             log.debug("event=unavailable reason=%s", err)
             return UNAVAILABLE
 
+    def _value_bytes(self) -> int:
+        """What a value may hold: the lower of the limits as soon as the format allows it."""
+        limits = self.deployment.state
+        new = self.world.mirror.format >= FORMAT_NOW
+        return limits.lowest().value_bytes if new else limits.value_bytes
+
     def _why_never(self, spec: JobSpec) -> str | None:
         """Why a job can never run, if so."""
         team = self.teams.get(spec.team)
@@ -114,11 +131,14 @@
         zones &= set(self.deployment.zones if spec.zone is None else [spec.zone])
         if not zones:
             return "no allowed machine type is offered in its zone"
-        if spec.gang and len(zones) * spec.zone_cap < spec.tasks:
-            return "a gang can't be spread over so few zones"
-        if spec.gang and spec.zone_cap < spec.tasks and (spec.one_zone or spec.zone is not None):
-            return "a gang can't be both in one zone and spread over several"
-        together = spec.tasks if spec.gang else 1
+        # All tasks of a gang, and all replicas of a service, are to run at the same time.
+        all_at_once = spec.gang or spec.daemon
+        if all_at_once and len(zones) * spec.zone_cap < spec.tasks:
+            return "it can't be spread over so few zones"
+        one_zone = spec.one_zone or spec.zone is not None
+        if all_at_once and spec.zone_cap < spec.tasks and one_zone:
+            return "it can't be both in one zone and spread over several"
+        together = spec.tasks if all_at_once else 1
         for limit, each in ((team.cpus_max, spec.cpus), (team.gpus_max, spec.gpus)):
             if limit > 0 and each * together > limit + 1e-6:
                 return "more than the team's limit"
@@ -134,6 +154,11 @@
         mirror = self.world.mirror
         if job_id in mirror.jobs:
             return await self.poll(job_id)
+        if spec.daemon and mirror.format < FORMAT_NOW:
+            # The record decides, so all controllers answer alike; not what this one last read.
+            await self.world.current()
+            if mirror.format < FORMAT_NOW:
+                return NOT_YET
         if not mirror.types:
             return UNAVAILABLE
         reason = self._why_never(spec)
@@ -142,7 +167,13 @@
         if spec.types is not None:
             known = sorted({t for t in spec.types if t in mirror.types})
             spec = msgspec.structs.replace(spec, types=known)
-        value = JobRecord(spec, self.world.wall()).dump()
+        job = JobRecord(spec, self.world.wall())
+        room = self._value_bytes()
+        if mirror.format >= FORMAT_NOW and not spec.gang and job.outgrows(self.zones, room):
+            job.chunk = chunk_tasks(spec.tasks, self.zones, room)
+        value = job.dump()
+        if size_of(value) > room:
+            return error(400, "the texts are too long together")
         key = JOBS + job_id
         try:
             version = await self.world.state.txn({key: 0}, {key: value})
@@ -196,9 +227,10 @@
             cancelled.stage = CANCELLED
             cancelled.grants = job.grants
             cancelled.gang = job.gang
-            value = cancelled.dump()
+            cancelled.chunk = job.chunk
+            value = cancelled.dump(self._value_bytes())
             try:
-                version = await self.world.state.txn({key: job.version}, {key: value})
+                version = await self.world.state.txn({key: job.main_version}, {key: value})
             except Conflict:
                 continue
             except Unknown:
--- a/src/dapplewick/config.py
+++ b/src/dapplewick/config.py
@@ -6,6 +6,8 @@
 
 import msgspec
 
+VALUE_SHARE = 0.92  # of what the state service takes in a value
+
 
 class SettingsError(Exception):
     """The settings can't be used; the text names the field."""
@@ -46,11 +48,36 @@
     cancel_s: float
 
 
+class NextStateLimits(msgspec.Struct):
+    """What the state service will take from some moment on; what is not named stays."""
+
+    rps: float | None = None
+    write_rps: float | None = None
+    value_kb: float | None = None
+    txn_ops: int | None = None
+
+
 class StateLimits(msgspec.Struct):
     rps: float
     write_rps: float
     value_kb: float
     txn_ops: int
+    next: NextStateLimits | None = None
+
+    def lowest(self) -> StateLimits:
+        """The lower of each limit, of now and of later: the moment comes without notice."""
+        later = self.next or NextStateLimits()
+        return StateLimits(
+            rps=min(self.rps, later.rps or self.rps),
+            write_rps=min(self.write_rps, later.write_rps or self.write_rps),
+            value_kb=min(self.value_kb, later.value_kb or self.value_kb),
+            txn_ops=min(self.txn_ops, later.txn_ops or self.txn_ops),
+        )
+
+    @property
+    def value_bytes(self) -> int:
+        """What a value may hold, less a little for how it is written."""
+        return int(self.value_kb * 1024 * VALUE_SHARE)
 
 
 class CloudLimits(msgspec.Struct):
@@ -127,6 +154,11 @@
         "deployment.cloud.rps": deployment.cloud.rps,
         "deployment.machine_limits.fd_limit": deployment.machine_limits.fd_limit,
     }
+    if deployment.state.next is not None:
+        for name in NextStateLimits.__struct_fields__:
+            later = getattr(deployment.state.next, name)
+            if later is not None:
+                positive[f"deployment.state.next.{name}"] = later
     for field, value in positive.items():
         if not 0 < value < float("inf"):
             raise SettingsError(f"{field}: must be a positive number, not {value}")
--- a/src/dapplewick/core/demand.py
+++ b/src/dapplewick/core/demand.py
@@ -96,7 +96,8 @@
         fresh = 0
         in_the_way = -1
         for job_id, job in self.mirror.each_live():
-            if job.open and not job.spec.gang and job.spec.gpus == 0:
+            spec = job.spec
+            if job.open and not spec.gang and not spec.daemon and spec.gpus == 0:
                 in_the_way = max(in_the_way, job.spec.rank)
             if job.spec.gang and job_id not in self._seen:
                 self._seen[job_id] = None
@@ -120,7 +121,9 @@
 
     def applies(self, spec: JobSpec) -> bool:
         """Whether this work would be in the way of gangs."""
-        return spec.gpus == 0 and not spec.gang and spec.rank >= self.rank and self.slots >= 0.5
+        if spec.gang or spec.daemon or spec.gpus > 0:
+            return False
+        return spec.rank >= self.rank and self.slots >= 0.5
 
     def rest(self, free: Size) -> Size:
         """A room less the whole slots of the gangs' size in it."""
--- a/src/dapplewick/core/estimates.py
+++ b/src/dapplewick/core/estimates.py
@@ -9,6 +9,7 @@
 
 WEIGHT = 0.1
 LOW, HIGH = 0.2, 5.0
+NEVER = 1e9  # a replica is not expected to end
 
 
 class Estimates:
@@ -28,6 +29,8 @@
         self._bias[bundle] = (mean + weight * (seen - mean), count + 1)
 
     def run_time(self, spec: JobSpec) -> Seconds:
+        if spec.daemon:
+            return NEVER
         mean, _ = self._bias.get(spec.bundle, (0.0, 0))
         return spec.estimate * math.exp(mean)
 
--- a/src/dapplewick/core/fleet.py
+++ b/src/dapplewick/core/fleet.py
@@ -30,6 +30,7 @@
     spec: JobSpec
     tasks: int
     together: bool
+    caps: dict[str, int] | None = None  # how many may be in each zone, where that is bound
 
 
 class Offer(NamedTuple):
@@ -138,7 +139,9 @@
                     unmet.append(need)
             else:
                 cap = spec.zone_cap if need.together and spec.spread else need.tasks
-                if not self._provide(now, spec, need.tasks, cap, self.zones, pool, asked):
+                if not self._provide(
+                    now, spec, need.tasks, cap, self.zones, pool, asked, need.caps
+                ):
                     unmet.append(need)
         bookings = [
             BookingRecord(type=kind, zone=zone, spot=spot, count=count, at=now)
@@ -155,10 +158,13 @@
         zones: list[str],
         pool: dict[Zone, PartRooms],
         asked: dict[tuple[str, str, bool], int],
+        caps: dict[str, int] | None = None,
     ) -> bool:
-        """Take room for `count` tasks out of the pool, at most `cap` in a zone, and ask for
-        what is missing; says whether something was found for all of them."""
+        """Take room for `count` tasks out of the pool, at most `cap` in a zone or as many as
+        `caps` says, and ask for what is missing; says whether something was found for all."""
         left = dict.fromkeys(zones, cap)
+        if caps is not None:
+            left = {zone: caps.get(zone, 0) for zone in zones}
         for zone in zones:
             part = pool[Zone(zone)]
             taken = False
--- a/src/dapplewick/core/leader.py
+++ b/src/dapplewick/core/leader.py
@@ -11,6 +11,8 @@
 from collections.abc import Iterable
 from typing import Any
 
+import msgspec
+
 from dapplewick.config import Settings
 from dapplewick.core.demand import AcceleratorDemand, GangDemand
 from dapplewick.core.estimates import Estimates
@@ -21,15 +23,23 @@
 from dapplewick.protocol.wire import JobSpec, MachineList, MachineType, types_value
 from dapplewick.storage.records import (
     BOOKINGS,
+    CHUNKS,
     DONE,
+    FORMAT,
+    FORMAT_NOW,
     JOBS,
     MACHINES,
     PARTS,
+    PLACES,
+    TYPE_KEYS,
     TYPES,
     GangPlace,
     JobRecord,
     MachineRecord,
     Mirror,
+    chunk_tasks,
+    job_of,
+    size_of,
 )
 from dapplewick.tuning import Tuning
 from dapplewick.types import (
@@ -53,8 +63,11 @@
 LOAD_LOG_S = 10.0
 QUEUE_SHARE = 0.15  # singles queued in a part, beyond what fits, by running ones
 HOLD_SHARE = 0.25  # of its run time, or of its wait so far, a gang may hold idle slots
+LEAST_RUN_S = 1.0  # an owner may say that a task takes no time at all
 STARVED_S = 60.0  # a job of which nothing started for so long has machines rented for it
 UNAIMED_WAIT_S = 90.0  # work without aims lets gangs with some go first for this long
+CONVERT_MOST = 2  # jobs whose records are cut into chunks at the same time
+CONVERT_WRITES = 6  # and writes for it in one pass
 FLEET_S = 1.0  # renting and returning is thought about this often
 
 
@@ -132,9 +145,15 @@
         self.demand = AcceleratorDemand(mirror, self._aimed)
         self.gangs = GangDemand(mirror, self.tuning.spare_slots)
         self.fleet = Fleet(mirror, settings.deployment.zones, epoch, self.tuning)
+        limits = self.settings.state.lowest()
+        self._value_bytes = limits.value_bytes
+        self._names = {settings.host_name, *(p.host_name for p in settings.peers)}
         self.book = MachineBook(
-            mirror, self.fleet, self.settings.workers.lease_s, self.settings.cloud.list_lag_s
-        )
+            mirror, self.fleet, self.settings.workers.lease_s, self.settings.cloud.list_lag_s,
+            limits.value_bytes, limits.txn_ops,
+        )  # fmt: skip
+        self._converting: set[JobId] = set()
+        self._outgrows: dict[JobId, bool] = {}
         self.parts: dict[Zone, PartView] = {}
         self.rented: dict[str, list[MachineId] | None] = {}
         self.types: list[MachineType] = []
@@ -231,22 +250,127 @@
         fleet = self._fleet_changes(now, wall, rooms, ordered)
         # Machines before the end of the booking that rented them: what the budget cuts off is
         # the end of this list, and a machine without record or booking is found only later.
-        changes = self.book.changes() + fleet
+        changes = self._raise_format() + self.book.changes() + fleet + self._convert()
         for job_id, (job, rank) in self._draft.items():
-            if rank == 3 and now - self._stored_at.get(job_id, 0.0) < PROGRESS_S:
-                continue
-            changes.append(Change(JOBS + job_id, job.dump(), job.version, rank))
+            changes += self._job_changes(now, job_id, job, rank)
+        changes += self._leftovers()
         changes.sort(key=lambda c: c.rank)
         if log.isEnabledFor(logging.DEBUG) and now - self._load_at > LOAD_LOG_S:
             self._load_at = now
             self._log_load(wall, rooms, ordered)
         return changes
 
+    def _raise_format(self) -> list[Change]:
+        """Once every controller named in the settings was seen with a version that understands
+        it, the newer format is used: for good, since the record of it is a condition of nothing
+        and read by all. One that was not heard of may yet come back with the older version."""
+        if self.mirror.format >= FORMAT_NOW or not self._names <= self.mirror.new_nodes:
+            return []
+        log.info("event=format_raised version=%d", FORMAT_NOW)
+        return [Change(FORMAT, {"version": FORMAT_NOW}, self.mirror.version(FORMAT), 0)]
+
+    def _job_changes(self, now: Seconds, job_id: JobId, job: JobRecord, rank: int) -> list[Change]:
+        """The writes for a draft: of the record, or of the keys that it is kept in."""
+        old = self.mirror.jobs[job_id]
+        key = JOBS + job_id
+        if job_id in self._converting and job.stage == old.stage:
+            return []
+        since = now - self._stored_at.get(job_id, 0.0)
+        if not job.chunk:
+            if rank == 3 and since < PROGRESS_S:
+                return []
+            out = self._place_shares(job_id, job, rank)
+            value = job.dump(self._value_bytes)
+            return [*out, Change(key, value, job.main_version, rank)]
+        out = []
+        if (job.stage, job.gang) != (old.stage, old.gang):
+            out.append(Change(key, job.dump(), job.main_version, rank))
+        if job.stage == DONE:
+            return out
+        changed = sorted(job.chunks_changed(old))
+        if rank == 3 and since < PROGRESS_S * max(1.0, len(changed) / 2.0):
+            return out
+        for number in changed:
+            chunk = f"{CHUNKS}{job_id}/{number}"
+            value, version = job.chunk_value(number), self.mirror.version(chunk)
+            if value is not None or version:
+                out.append(Change(chunk, value, version, rank, ((key, job.main_version),)))
+        return out
+
+    def _place_shares(self, job_id: JobId, job: JobRecord, rank: int) -> list[Change]:
+        """The keys for a long gang's place, written before the record that names their number.
+        They name the attempt: what a leader that ended on the way left behind is not read."""
+        gang = job.gang
+        if gang is None or gang.shares or self.mirror.format < FORMAT_NOW:
+            return []
+        if size_of(job.dump()) <= self._value_bytes:
+            return []
+        most = max(1, (self._value_bytes - 60) // max(size_of(p) + 1 for p in gang.places))
+        parts = [gang.places[i : i + most] for i in range(0, len(gang.places), most)]
+        job.gang = msgspec.structs.replace(gang, shares=len(parts))
+        out = []
+        for number, places in enumerate(parts):
+            key = f"{PLACES}{job_id}/{number}"
+            value = {"attempt": gang.attempt, "places": [list(p) for p in places]}
+            out.append(Change(key, value, self.mirror.version(key), rank))
+        return out
+
+    def _convert(self) -> list[Change]:
+        """Arrays whose records may outgrow a value, and were written before chunks were known,
+        are cut, a few writes at a time: first the chunks, which nobody reads yet, and when all
+        are as the record says, the record itself. Only the leader changes either, but for a
+        cancellation, which makes the last write fail; meanwhile it changes nothing else of the
+        job. Each of these writes is small, so this goes on also when the limit has fallen."""
+        self._converting = set()
+        if self.mirror.format < FORMAT_NOW:
+            return []
+        out: list[Change] = []
+        for job_id, job in self.mirror.each_live():
+            if job.chunk or job.spec.gang or not job.open or not self._may_outgrow(job_id, job):
+                continue
+            self._converting.add(job_id)
+            target = job.copy()
+            target.chunk = chunk_tasks(job.spec.tasks, self.settings.zones, self._value_bytes)
+            wanted = target.chunk_values()
+            there = {n: c.value for n, c in self.mirror.chunks.get(job_id, {}).items()}
+            differ = [n for n in sorted(wanted | there) if wanted.get(n) != there.get(n)]
+            for number in differ[: CONVERT_WRITES - len(out)]:
+                key = f"{CHUNKS}{job_id}/{number}"
+                needs = ((JOBS + job_id, job.main_version),)
+                out.append(Change(key, wanted.get(number), self.mirror.version(key), 2, needs))
+            if not differ:
+                log.info("event=job_cut job=%s chunks=%d", job_id, len(wanted))
+                out.append(Change(JOBS + job_id, target.dump(), job.main_version, 1))
+            if len(self._converting) >= CONVERT_MOST or len(out) >= CONVERT_WRITES:
+                break
+        return out
+
+    def _may_outgrow(self, job_id: JobId, job: JobRecord) -> bool:
+        known = self._outgrows.get(job_id)
+        if known is None:
+            known = self._outgrows[job_id] = job.outgrows(self.settings.zones, self._value_bytes)
+        return known
+
+    def _leftovers(self) -> list[Change]:
+        """Keys of jobs that nothing reads any more."""
+        out = []
+        for job_id in [*self.mirror.chunks, *self.mirror.places]:
+            job = self.mirror.jobs.get(job_id)
+            if job is None or job_id in self._converting:
+                continue
+            if not job.open and not job.grants:
+                out += [f"{CHUNKS}{job_id}/{n}" for n in self.mirror.chunks.get(job_id, {})]
+            if job.gang is None and job_id not in self._draft:
+                out += [f"{PLACES}{job_id}/{n}" for n in self.mirror.places.get(job_id, {})]
+        keys = dict.fromkeys(out)
+        return [Change(key, None, self.mirror.version(key), 3) for key in [*keys][:CONVERT_WRITES]]
+
     def written(self, now: Seconds, changes: Iterable[Change]) -> None:
         """These changes are stored."""
         for change in changes:
-            if change.key.startswith(JOBS):
-                self._stored_at[JobId(change.key[len(JOBS) :])] = now
+            job_id = job_of(change.key)
+            if job_id is not None:
+                self._stored_at[job_id] = now
             elif change.key.startswith(MACHINES):
                 self.book.written(now, change.key[len(MACHINES) :])
 
@@ -297,6 +421,8 @@
                 continue
             granted = old.granted(zone)
             done = [i for i in body["done"] if i not in old.done and i in granted]
+            if old.spec.daemon:
+                done = []  # a service is never done, whatever its replicas report
             # What is given back counts only against the record that the part knew: a newer
             # one may have granted the same task anew.
             returned = body["returned"] if body["version"] == old.version else []
@@ -316,7 +442,11 @@
     def _absorb_gangs(self, now: Seconds) -> None:
         owned = {p.zone: p for p in self._owned()}
         lowest = min(
-            (j.spec.rank for _, j in self.mirror.each_live() if j.open and not j.spec.gang),
+            (
+                j.spec.rank
+                for _, j in self.mirror.each_live()
+                if j.open and not (j.spec.gang or j.spec.daemon)
+            ),
             default=GANG_RANK,
         )
         held: dict[JobId, Seconds] = {}
@@ -340,15 +470,13 @@
                 self._edit(job_id, 1).gang = None
             elif old.open and not gang.over and "bad" in states:
                 log.info("event=gang_over job=%s attempt=%d", job_id, gang.attempt)
-                self._edit(job_id, 1).gang = GangPlace(gang.attempt, gang.places, over=True)
+                self._edit(job_id, 1).gang = msgspec.structs.replace(gang, over=True)
             elif "held" in states and not gang.preempt and old.spec.rank > lowest:
                 # Its slots were to be idle soon by estimates that were too low.
                 held[job_id] = self._held_since.get(job_id, now)
                 if now - held[job_id] > self.tuning.patience_s:
                     log.info("event=gang_hurried job=%s attempt=%d", job_id, gang.attempt)
-                    self._edit(job_id, 1).gang = GangPlace(
-                        gang.attempt, gang.places, preempt=True
-                    )  # fmt: skip
+                    self._edit(job_id, 1).gang = msgspec.structs.replace(gang, preempt=True)
         self._held_since = held
 
     def _usage(self) -> dict[str, Size]:
@@ -645,7 +773,9 @@
         return [
             entry
             for entry in ordered
-            if entry[1].spec.bundle in self._aimed or wall - entry[1].at > UNAIMED_WAIT_S
+            if entry[1].spec.bundle in self._aimed
+            or entry[1].spec.daemon
+            or wall - entry[1].at > UNAIMED_WAIT_S
         ]
 
     def _queue_room(self, rooms: list[PartRooms]) -> dict[Zone, int]:
@@ -655,8 +785,9 @@
             running = sum(end.rank < GANG_RANK for v in part.views for end in v.ends)
             waiting = 0
             for job_id in self.mirror.live_jobs:
-                granted = self._job(job_id).grants.get(part.zone)
-                if granted:
+                job = self._job(job_id)
+                granted = job.grants.get(part.zone)
+                if granted and not job.spec.daemon:
                     body = said.get(job_id)
                     waiting += max(0, len(granted) - (body["placed"] if body is not None else 0))
             room[part.zone] = max(0, int(QUEUE_LEAST + QUEUE_SHARE * running) - waiting)
@@ -687,6 +818,14 @@
             share = part.take_most(spec, most, warm)
             shares[part.zone] = share
             count -= share
+        if spec.daemon:
+            # None waits in a queue; what gives way to it makes room.
+            for part in parts if not warm else ():
+                most = min(count, spec.zone_cap - len(job.granted(part.zone)) - shares[part.zone])
+                forced = part.take_forced(spec, most)
+                shares[part.zone] += forced
+                count -= forced
+            return {zone: share for zone, share in shares.items() if share}
         for part in parts if not warm else ():
             most = min(count, spec.zone_cap - len(job.granted(part.zone)) - shares[part.zone])
             extra = min(most, queue_room[part.zone])
@@ -717,10 +856,10 @@
         ordered: list[tuple[JobId, JobRecord, int]],
     ) -> list[Change]:
         changes: list[Change] = []
-        if self.types and [_shape(t) for t in self.types] != [
-            _shape(t) for t in self.mirror.types.values()
-        ]:
-            changes.append(Change(TYPES, types_value(self.types), self.mirror.version(TYPES), 0))
+        if self.types and {t.name: _shape(t) for t in self.types} != {
+            t.name: _shape(t) for t in self.mirror.types.values()
+        }:
+            changes += self._types_changes()
         for name, machines in list(self.rented.items()):
             booking = self.mirror.bookings.get(name)
             if booking is None:
@@ -748,6 +887,20 @@
             self._returns(unmet, spare)
         return changes
 
+    def _types_changes(self) -> list[Change]:
+        """The types, in one record or, where they are too many for it, with a key for each."""
+        value = types_value(self.types)
+        if size_of(value) <= self._value_bytes or self.mirror.format < FORMAT_NOW:
+            return [Change(TYPES, value, self.mirror.version(TYPES), 0)]
+        out = [
+            Change(TYPE_KEYS + kind.name, item, self.mirror.version(TYPE_KEYS + kind.name), 0)
+            for kind, item in zip(self.types, value, strict=True)
+            if (old := self.mirror.types.get(kind.name)) is None or _shape(old) != _shape(kind)
+        ]
+        if self.mirror.version(TYPES) and not out:
+            out.append(Change(TYPES, [], self.mirror.version(TYPES), 0))
+        return out
+
     def _ready(self, now: Seconds) -> bool:
         """Whether enough is known to decide on machines: every owned part was heard."""
         if not self.mirror.types or now - self.started < 1.0:
@@ -777,6 +930,17 @@
         groups: dict[Any, list[tuple[JobId, JobRecord, int]]] = {}
         for entry in ordered:
             spec = entry[1].spec
+            if spec.daemon:
+                missing = self._replicas_missing(entry)
+                if missing:
+                    needs.append(Need(spec, missing, False, self._caps(entry[1])))
+                continue
+            caps = self._caps(entry[1])
+            if caps is not None and entry[2]:
+                # Room in a zone where none of it may start any more would seem to do for it.
+                each = max(LEAST_RUN_S, self.estimates.run_time(spec))
+                count = wanted_slots(entry[2] * each, 0, self.tuning.horizon_s)
+                needs.append(Need(spec, max(1, min(entry[2], count)), False, caps))
             key = (tuple(spec.types or ()), spec.spot, spec.zone, spec.gpus > 0)
             groups.setdefault(key, []).append(entry)
         for entries in groups.values():
@@ -793,9 +957,10 @@
                 running += placed
                 mine = left + max(0, granted - placed)
                 waiting += mine
-                work += mine * self.estimates.run_time(job.spec)
+                each = max(LEAST_RUN_S, self.estimates.run_time(job.spec))
+                work += mine * each
                 if not placed and wall - job.at > STARVED_S:
-                    starved += mine * self.estimates.run_time(job.spec)
+                    starved += mine * each
                 if mine and job.spec.cpus > largest.cpus:
                     largest = job.spec
             count = min(waiting, wanted_slots(work, running, horizon))
@@ -813,6 +978,22 @@
         needs.sort(key=lambda need: need.spec.gpus == 0)
         return needs
 
+    def _replicas_missing(self, entry: tuple[JobId, JobRecord, int]) -> int:
+        """Replicas of a service that are nowhere, nor on the way."""
+        job_id, job, _ = entry
+        placed = sum(int(p.jobs[job_id]["placed"]) for p in self.parts.values() if job_id in p.jobs)
+        return max(0, job.spec.tasks - placed)
+
+    def _caps(self, job: JobRecord) -> dict[str, int] | None:
+        """How many more of its tasks may be in each zone; None if it is bound to none."""
+        spec = job.spec
+        if spec.one_zone:
+            holders = [zone for zone, tasks in job.grants.items() if tasks]
+            return dict.fromkeys(holders, spec.tasks) if holders else None
+        if not spec.spread:
+            return None
+        return {z: max(0, spec.zone_cap - len(job.granted(z))) for z in self.settings.zones}
+
     def _long_held(self, job_id: JobId, gang: GangPlace) -> bool:
         """Whether a gang's slots will still be busy for long: more room is wanted then."""
         for zone in gang.zones():
--- a/src/dapplewick/core/machines.py
+++ b/src/dapplewick/core/machines.py
@@ -13,6 +13,7 @@
 from dapplewick.storage.records import (
     BOOTING,
     DOOMED,
+    FORMAT_NOW,
     MACHINES,
     UP,
     BookingRecord,
@@ -26,7 +27,9 @@
 
 SOON, NEXT, LATER = 0, 1, 2  # ranks of changes
 UP_S = 1.0  # machines of a group that came up are told of this often
-GROUP_MOST = 150  # machines in a record: it stays well below what a value may hold
+GROUP_MOST = 150  # machines in a record, where a value may hold as many
+GROUP_BYTES = 200  # of a record, beside its machines
+STATE_BYTES = 18  # of each machine, beside its name
 
 
 class Change(NamedTuple):
@@ -36,12 +39,24 @@
     value: Any
     version: int
     rank: int  # lower ones are written first
+    needs: tuple[tuple[str, int], ...] = ()  # other keys that must still have these versions
+    tied: str = ""  # changes in a row with the same text go into one transaction
 
 
 class MachineBook:
     """Drafts of the records of machines, which are kept in a group for each rental."""
 
-    def __init__(self, mirror: Mirror, fleet: Fleet, lease_s: Seconds, lag_s: Seconds) -> None:
+    def __init__(
+        self,
+        mirror: Mirror,
+        fleet: Fleet,
+        lease_s: Seconds,
+        lag_s: Seconds,
+        value_bytes: int = 16 * 1024,
+        txn_ops: int = 16,
+    ) -> None:
+        self._value_bytes = value_bytes
+        self._txn_ops = txn_ops
         self.mirror = mirror
         self.fleet = fleet
         self.lease_s = lease_s
@@ -70,15 +85,53 @@
 
     def begin(self) -> None:
         self._drafts.clear()
+        self._cut: list[str] = []
+        if self.mirror.format >= FORMAT_NOW:
+            large = (
+                n for n, g in self.mirror.groups.items() if len(g.machines) > self._most(g.machines)
+            )
+            self._cut = list(large)[:1]
 
     def changes(self) -> list[Change]:
         out = []
         for name, (group, rank) in self._drafts.items():
+            if name in self._cut:
+                continue
             key = MACHINES + name
             value = msgspec.to_builtins(group) if group.machines else None
             out.append(Change(key, value, self.mirror.version(key), rank))
+        return out + self._cut_changes()
+
+    def _most(self, machines: Iterable[str]) -> int:
+        """How many machines with names like these a record may hold."""
+        longest = max((len(m) for m in machines), default=10)
+        return max(1, min(GROUP_MOST, (self._value_bytes - GROUP_BYTES) // (longest + STATE_BYTES)))
+
+    def _cut_changes(self) -> list[Change]:
+        """Groups that were written when a value could hold more are cut, one in each pass, all
+        of it at once: whichever limit is in force, the old key gets smaller in the same moment."""
+        out: list[Change] = []
+        for name in self._cut:
+            draft = self._drafts.get(name)
+            group = draft[0] if draft is not None else self.mirror.groups[name]
+            most = self._most(group.machines)
+            machines = list(group.machines.items())
+            pieces = [dict(machines[i : i + most]) for i in range(0, len(machines), most)]
+            for n, piece in enumerate(pieces[: self._txn_ops]):
+                key = MACHINES + (name if n == 0 else self._free_name(name, n))
+                if n == self._txn_ops - 1:
+                    # What a transaction has no room for stays here, and is cut in the next pass.
+                    piece = dict(machines[n * most :])
+                value = msgspec.to_builtins(msgspec.structs.replace(group, machines=piece))
+                out.append(Change(key, value, self.mirror.version(key), SOON, tied=name))
         return out
 
+    def _free_name(self, name: str, least: int) -> str:
+        number = least
+        while f"{name}.{number}" in self.mirror.groups or f"{name}.{number}" in self._drafts:
+            number += 1000
+        return f"{name}.{number}"
+
     def _draft(self, name: str, rank: int) -> GroupRecord:
         draft = self._drafts.get(name)
         if draft is None:
@@ -109,15 +162,23 @@
         name: str, rank: int,
     ) -> None:  # fmt: skip
         """Into a group of their kind that has room, else into a new one of this name."""
+        most = self._most(machines)
+        if len(machines) > most:
+            for n, first in enumerate(range(0, len(machines), most)):
+                some = machines[first : first + most]
+                self._add(some, type_, zone, spot, wall, f"{name}.{n}" if n else name, rank)
+            return
         states: dict[str, str] = dict.fromkeys(machines, f"{BOOTING}{wall:.0f}")
         for known, group in self.mirror.groups.items():
             draft = self._drafts.get(known)
             size = len(draft[0].machines if draft is not None else group.machines)
             if (group.type, group.zone, group.spot) == (type_, zone, spot) and (
-                size + len(machines) <= GROUP_MOST
+                size + len(machines) <= most
             ):
                 self._draft(known, rank).machines.update(states)
                 return
+        if name in self.mirror.groups or name in self._drafts:
+            name = self._free_name(name, 1)  # of this rental some may be recorded already
         self._drafts[name] = (
             GroupRecord(type=type_, zone=zone, spot=spot, machines=states),
             rank,
@@ -180,8 +241,9 @@
             if quiet > self.lease_s + 1.0:
                 return "silent"
             if wanted_gone and quiet > self.lease_s / 2:
-                # A hanging machine may hold a cancelled task until its deletion.
-                return "silent with cancelled tasks"
+                # A hanging machine may hold a cancelled task until its deletion, and replicas of
+                # services start elsewhere only after it.
+                return "silent with cancelled tasks or replicas"
         if body is not None and body["faulty"]:
             return "faulty"
         return ""
--- a/src/dapplewick/core/part.py
+++ b/src/dapplewick/core/part.py
@@ -15,7 +15,7 @@
 from typing import Any
 
 from dapplewick.core.demand import AcceleratorDemand, GangDemand
-from dapplewick.core.estimates import Estimates
+from dapplewick.core.estimates import NEVER, Estimates
 from dapplewick.core.model import shape_of
 from dapplewick.core.part_state import (
     ASSIGNED,
@@ -34,7 +34,7 @@
     Slot,
 )
 from dapplewick.core.part_status import Touched, full_status
-from dapplewick.protocol.wire import JobSpec, Order, Report, TaskReport
+from dapplewick.protocol.wire import JobSpec, MachineType, Order, Report, TaskReport
 from dapplewick.storage.records import JobRecord, Mirror
 from dapplewick.tuning import Tuning
 from dapplewick.types import (
@@ -68,6 +68,12 @@
 FORGET_S = 5.0  # a stored result is forgotten with the next orders, or after this time
 FORGET_MOST = 16  # or when there are so many
 FAULTY = 4  # failures in a row, of different jobs, that make a machine suspect
+REPLICA_WAIT_S = 4.0  # and a replica sooner
+STEADY_S = 30.0  # a replica that ran for as long did not fail at once
+LAST_CALL_S = 6.0  # a replica is stopped so long before its machine is taken, wherever it can go
+MATE_COST, SPOT_COST, GPU_COST = 30.0, 20.0, 5.0  # seconds a better place for a replica is worth
+DRAIN_S = 75.0  # after this time with nothing but replicas a dear machine is emptied
+DRAIN_PRICE = 2.0  # dear: more than this times the cheapest that they fit
 SLOW_TICK_S = 1.0  # what looks at all machines, holds and waiting singles is done this often
 
 
@@ -86,6 +92,7 @@
         seed: int = 0,
         aimed: frozenset[str] = frozenset(),
         lease_s: Seconds = 15.0,
+        report_s: Seconds = 2.5,
     ) -> None:
         self.zone = zone
         self.token = token
@@ -93,6 +100,7 @@
         self.estimates = estimates
         self.threshold = (tuning or Tuning()).threshold_s
         self._lease_s = lease_s
+        self._report_s = report_s
         self.refused = now  # when reports were last refused here, or this ownership began
         self.random = random.Random(seed ^ token)
         self.machines: dict[MachineId, Machine] = {}
@@ -132,6 +140,7 @@
         job = self.mirror.jobs.get(job_id)
         granted = job.granted(self.zone) - job.done if job is not None and job.open else set()
         singles = self.singles.get(job_id)
+        replicas = False
         if granted or singles:
             singles = self.singles.setdefault(job_id, {})
             for index in [i for i in singles if i not in granted]:
@@ -148,11 +157,14 @@
                 singles[index] = Single(UNSURE if takeover else WAITING, now)
                 if not takeover:
                     self.queues.loose.append(task)
+                    replicas = replicas or (job is not None and job.spec.daemon)
             if not singles:
                 del self.singles[job_id]
             self.touched.job(job_id)
         self._gang_changed(now, job_id, job, takeover)
         self.dirty = True
+        if replicas:
+            self._join_all(now)  # not only with the next tick: users wait for them
 
     def _gang_changed(
         self, now: Seconds, job_id: JobId, job: JobRecord | None, takeover: bool
@@ -276,7 +288,11 @@
             orders += self._launches(now, machine)
         if machine.stored:
             orders = self._forget_stored(now, machine, bool(orders)) + orders
-        busy = any(live.stage != "exited" for live in machine.live.values())
+        # Replicas alone keep a machine, but its time without other work counts.
+        busy = any(
+            live.stage != "exited" and not (live.spec is not None and live.spec.daemon)
+            for live in machine.live.values()
+        )
         # One that lost its tasks only now, as with its lease in an outage, is not idle yet.
         if busy or (had and not machine.live) or self._held_on(machine.id):
             machine.idle_since = now
@@ -323,6 +339,7 @@
                     self._requeue_slots(machine)
             for job_id, hold in self.holds.items():
                 self._check_hold(now, job_id, hold)
+            self._drain_dear(now)
             self._return_long_waits(now)
         self._join_all(now)
 
@@ -364,6 +381,7 @@
             and now - machine.last < FRESH_S
             and not self.faulty(now, machine)
             and not machine.slow
+            and not machine.drain
             and not machine.deaf
             and machine.lost_starts < LOST_STARTS
         )
@@ -406,7 +424,7 @@
     def _free_for(self, machine: Machine, spec: JobSpec) -> Size:
         """The free room that this work may use."""
         free = self.free(machine)
-        if spec.gpus > 0:
+        if spec.gpus > 0 or spec.daemon:
             return free
         reserve = self.demand.reserve(machine.capacity, free)
         if self._few and self.gang_demand.applies(spec):
@@ -559,7 +577,8 @@
         job = self.mirror.jobs.get(task.job)
         single = self._single(task)
         forget = [Order("forget", task, item.attempt)]
-        if item.cause == "done":
+        replica = job is not None and job.open and job.spec.daemon
+        if item.cause == "done" and not replica:
             machine.failures.clear()
             if job is None or not job.open or task.number in job.done:
                 self._leave_slot(machine, task)
@@ -594,6 +613,8 @@
             machine.failures[task.job] = now
         self._remove_live(machine, task)
         if single is not None and single.machine == machine.id and single.state == ON:
+            if replica and live.running_at is not None and now - live.running_at > STEADY_S:
+                single.fails = 0
             self._again(now, task, single, failed=item.cause not in ("halted", "full", "peers"))
         self.dirty = True
         return forget
@@ -604,6 +625,8 @@
         spec = self._spec(task)
         if spec is None or live.running_at is None or (single is not None and single.fails):
             return
+        if spec.daemon:
+            return
         ran = max(0.5, now - live.running_at)
         self.estimates.learn(spec.bundle, spec.estimate, ran)
         if single is None or spec.estimate <= 0.0:
@@ -680,7 +703,11 @@
         single.queue = None
         if failed:
             single.fails += 1
-            single.not_before = now + min(60.0, RETRY_S * 2.0 ** (single.fails - 1))
+            # A replica is wanted back at once; only one that fails again and again is paused.
+            spec = self._spec(task)
+            power = single.fails - (2 if spec is not None and spec.daemon else 1)
+            pause = min(60.0, RETRY_S * 2.0**power) if power >= 0 else 0.0
+            single.not_before = now + pause
             self.later.append(task)
         else:
             self.queues.loose.append(task)
@@ -742,6 +769,8 @@
         self, now: Seconds, task: TaskRef, single: Single, spec: JobSpec, able: list[Machine]
     ) -> bool:
         """A single joins an idle slot, else a held one that it passes, else the shortest queue."""
+        if spec.daemon:
+            return self._join_replica(now, task, spec, able)
         if len(able) > SAMPLE:
             able = self._sample(spec, able)
         size = spec.size
@@ -776,7 +805,7 @@
             for m in able
             for cold in [spec.image not in m.images]
             for s in m.slots
-            if len(s.queue) < MAX_QUEUE
+            if len(s.queue) < MAX_QUEUE and not s.endless
         ]
         if not queues:
             return False
@@ -786,6 +815,126 @@
         single.queue = shortest
         return True
 
+    # Replicas of services: singles of their priority that are not expected to end
+
+    def _join_replica(
+        self, now: Seconds, task: TaskRef, spec: JobSpec, able: list[Machine]
+    ) -> bool:
+        """A replica joins the idle slot where it will run soonest, away from the others of its
+        service and from machines that may be taken; else, by its priority, one that work of
+        lower priority is stopped for. It waits in no queue: a slot's tasks may take long."""
+        machine = self._place_for(now, spec, task.job, able)
+        if machine is None:
+            return False
+        slot = Slot(machine.id)
+        machine.slots.append(slot)
+        self._put_in(task, slot)
+        machine.idle_since = now
+        return True
+
+    def _place_for(
+        self, now: Seconds, spec: JobSpec, job_id: JobId, able: Iterable[Machine]
+    ) -> Machine | None:
+        best: tuple[tuple[bool, float], Machine] | None = None
+        for machine in able:
+            room = self.free(machine)
+            held = self.held_size(machine.id)
+            if held is not NOTHING:
+                room = room.minus(held)
+            forced = not spec.size.fits(room)
+            if forced:
+                for live in machine.live.values():
+                    if self._gives_way(live, spec) or (live.stopped and live.stage != "exited"):
+                        room = room.plus(live.size)
+                if not spec.size.fits(room):
+                    continue
+            key = (forced, self._replica_cost(now, spec, job_id, machine))
+            if best is None or key < best[0]:
+                best = (key, machine)
+        return best[1] if best is not None else None
+
+    def _gives_way(self, live: Live, spec: JobSpec) -> bool:
+        """Whether a task may be stopped for a replica."""
+        other = live.spec
+        return (
+            other is not None
+            and not other.gang
+            and not other.daemon
+            and other.rank < spec.rank
+            and live.stage != "exited"
+            and not live.stopped
+        )
+
+    def _replica_cost(
+        self, now: Seconds, spec: JobSpec, job_id: JobId, machine: Machine
+    ) -> Seconds:
+        """How long until it would run here, and what else speaks against it, in seconds."""
+        mates = sum(t.job == job_id for t in machine.live)
+        mates += sum(s.current is not None and s.current.job == job_id for s in machine.slots)
+        cost = MATE_COST * mates + SPOT_COST * machine.spot + GPU_COST * (machine.capacity.gpus > 0)
+        if spec.image not in machine.images:
+            kind = self.mirror.types.get(machine.type)
+            cost += spec.image_gb / max(0.01, kind.fetch_rate if kind is not None else 0.1)
+            cost += machine.fetches()
+        # Who reported long ago reports again soon; the start goes out in the answer.
+        cost += max(0.0, self._report_s - (now - machine.last))
+        return cost + 0.01 * self.free(machine).cpus
+
+    def replicas_there(self, machine: Machine) -> bool:
+        """Whether replicas of services, which are wanted elsewhere, are on this machine."""
+        return any(
+            live.spec is not None and live.spec.daemon and live.stage != "exited"
+            for live in machine.live.values()
+        )
+
+    def _moves(self, now: Seconds, machine: Machine, task: TaskRef, spec: JobSpec) -> bool:
+        """Whether a replica is to leave its machine now: one that goes, or is no good place,
+        as soon as another with its image has room, or at the last moment."""
+        if machine.notice is not None and machine.notice < LAST_CALL_S:
+            return True
+        if machine.notice is None and not machine.slow and not machine.drain:
+            return False
+        able = [
+            m
+            for m in self.machines.values()
+            if m is not machine and m.was_usable and self._allowed(spec, m)
+        ]
+        place = self._place_for(now, spec, task.job, able)
+        if place is None or not spec.size.fits(self.free(place)):
+            return False
+        # Without its image there it is away for longer: only for a notice, or in the end.
+        waited = machine.drain and now - machine.idle_since > 2.0 * DRAIN_S
+        return spec.image in place.images or machine.notice is not None or waited
+
+    def _drain_dear(self, now: Seconds) -> None:
+        """A dear machine on which nothing but replicas has been for long is emptied, if what
+        is there has room on others: they move, and it is returned."""
+        for machine in self.machines.values():
+            lives = [v for v in machine.live.values() if v.stage != "exited"]
+            if machine.drain:
+                # Emptied, it is idle and goes; work that could use it brings it back.
+                machine.drain = bool(lives) or not self.queues.loose
+                continue
+            if not lives or now - machine.idle_since < DRAIN_S or not machine.was_usable:
+                continue
+            specs = [v.spec for v in lives if v.spec is not None and v.spec.daemon]
+            if len(specs) < len(lives) or len(machine.slots) > len(lives):
+                continue
+            kind = self.mirror.types.get(machine.type)
+            prices = [
+                t.price for t in self.mirror.types.values() if all(_fits(s, t) for s in specs)
+            ]
+            if kind is None or not prices or kind.price <= DRAIN_PRICE * min(prices):
+                continue
+            others = [m for m in self.machines.values() if m is not machine and m.was_usable]
+            if all(
+                any(self._allowed(s, m) and s.size.fits(self.free(m)) for m in others)
+                for s in specs
+            ):
+                log.info("event=machine_drained machine=%s replicas=%d", machine.id, len(lives))
+                machine.drain = True
+                self._note_usable(now, machine)
+
     def _sample(self, spec: JobSpec, able: list[Machine]) -> list[Machine]:
         """Some machines to look at: of those with the image, and of all."""
         there = self.images.where(spec.image)
@@ -805,6 +954,8 @@
 
     def _passes(self, now: Seconds, spec: JobSpec, machine: Machine) -> bool:
         """The test of the design's fourth point, against every gang held on this machine."""
+        if spec.daemon:
+            return False  # it does not end before any gang's start
         holds = {job_id: hold for job_id, hold, _ in self._held_on(machine.id)}
         # Where singles are stopped for a gang, its wait ends with the last of them: one that
         # passed by its estimate was stopped with the next report, over and over.
@@ -849,7 +1000,7 @@
         if live.spec is None or live.stopped:
             return 0.0
         estimate = self.estimates.run_time(live.spec)
-        if live.running_at is None:
+        if live.running_at is None or estimate >= NEVER:
             return estimate
         return max(0.0, estimate - (now - live.running_at))
 
@@ -865,7 +1016,7 @@
         """The jobs of which a single may start on this machine now, those first whose image
         is there: among queues that are equally long it decides."""
         held = self.held_size(machine.id)
-        rooms: dict[tuple[bool, int], Size] = {}
+        rooms: dict[tuple[bool, int, bool], Size] = {}
         warm: dict[JobId, None] = {}
         cold: dict[JobId, None] = {}
         for job_id in jobs:
@@ -873,7 +1024,9 @@
             if job is None or not self._allowed(job.spec, machine):
                 continue
             spec = job.spec
-            kind = (spec.gpus > 0, spec.rank)
+            if spec.daemon and any(t.job == job_id for t in machine.live):
+                continue  # away from the others of its service, where there is a choice
+            kind = (spec.gpus > 0, spec.rank, spec.daemon)
             room = rooms.get(kind)
             if room is None:
                 room = rooms[kind] = self._free_for(machine, spec)
@@ -922,6 +1075,9 @@
             task = slot.current
             if task is not None and task not in machine.live:
                 single = self._single(task)
+                if slot.endless and not NOTHING.fits(self.free(machine)):
+                    kept.append(slot)  # what is stopped for it is not gone yet
+                    continue
                 if single is not None and single.state == ASSIGNED:
                     orders.append(self._start(now, machine, task, self._new_attempt()))
                     self._set(task, single, ON)
@@ -948,6 +1104,7 @@
         spec, machine = self._spec(task), self.machines.get(slot.machine)
         if spec is not None and machine is not None:
             slot.image = spec.image
+            slot.endless = spec.daemon
             self.images.add(machine, spec.image)
         self._slot_changed(slot)
 
@@ -1014,8 +1171,16 @@
     def _return_long_waits(self, now: Seconds) -> None:
         """Singles that find no room here go back to the leader, which may know better."""
         for job_id, singles in self.singles.items():
+            job = self.mirror.jobs.get(job_id)
+            replica = job is not None and job.spec.daemon
             for index, single in singles.items():
-                if single.state in (WAITING, ASSIGNED) and now - max(
+                if replica and (
+                    single.state == WAITING
+                    and now - max(single.since, single.not_before) > REPLICA_WAIT_S
+                ):
+                    self._drop(TaskRef(job_id, TaskIndex(index)), single)
+                    self._set(TaskRef(job_id, TaskIndex(index)), single, RETURNED)
+                elif single.state in (WAITING, ASSIGNED) and now - max(
                     single.since, single.not_before
                 ) > (LONG_WAIT_S):
                     task = TaskRef(job_id, TaskIndex(index))
@@ -1095,8 +1260,10 @@
                 wanted = single is not None and (
                     single.machine == machine.id or single.state == UNSURE
                 )
+            if spec.daemon and wanted and self._moves(now, machine, task, spec):
+                wanted = False
             orderly = spec.checkpoint > 0 and live.stage == "running"
-            leaving = machine.notice is not None and orderly and not spec.gang
+            leaving = machine.notice is not None and orderly and not (spec.gang or spec.daemon)
             if wanted and not leaving and task not in preempt:
                 continue
             if live.stage == "flushing" or (live.stopped and orderly):
@@ -1127,7 +1294,9 @@
                     for task, live in machine.live.items()
                     if live.stage != "exited" and not live.stopped and task not in stop
                     for spec in [self._spec(task)]
-                    if spec is not None and not spec.gang and spec.rank < job.spec.rank
+                    if spec is not None
+                    and not (spec.gang or spec.daemon)
+                    and spec.rank < job.spec.rank
                 ),
             )
             for _, _, task in victims:
@@ -1135,8 +1304,36 @@
                     break
                 room = room.plus(self._size(task))
                 stop.add(task)
+        self._make_room(machine, stop)
         return stop
 
+    def _make_room(self, machine: Machine, stop: set[TaskRef]) -> None:
+        """Work of lower priority to stop for replicas that joined here without room."""
+        waiting = [
+            spec
+            for slot in machine.slots
+            if slot.endless and slot.current is not None and slot.current not in machine.live
+            for spec in [self._spec(slot.current)]
+            if spec is not None
+        ]
+        if not waiting:
+            return
+        rank = max(waiting, key=lambda s: s.rank)
+        room = self.free(machine)  # less than nothing: the replicas' slots are counted
+        for task, live in machine.live.items():
+            if task in stop or (live.stopped and live.stage != "exited"):
+                room = room.plus(live.size)
+        victims = sorted(
+            (live.spec.rank, -live.since, task)
+            for task, live in machine.live.items()
+            if live.spec is not None and task not in stop and self._gives_way(live, rank)
+        )
+        for _, _, task in victims:
+            if NOTHING.fits(room):
+                break
+            room = room.plus(self._size(task))
+            stop.add(task)
+
     # What the leader is told
 
     def status(self, now: Seconds, base: int = 0) -> dict[str, Any]:
@@ -1211,3 +1408,7 @@
                 if live.stage == "running":
                     counts[task.job] = counts.get(task.job, 0) + 1
         yield from counts.items()
+
+
+def _fits(spec: JobSpec, kind: MachineType) -> bool:
+    return spec.size.fits(kind.size) and (spec.types is None or kind.name in spec.types)
--- a/src/dapplewick/core/part_state.py
+++ b/src/dapplewick/core/part_state.py
@@ -39,13 +39,14 @@
 class Slot:
     """A share of a machine, carved to the size of its task, with a queue of singles."""
 
-    __slots__ = ("current", "image", "machine", "queue", "size")
+    __slots__ = ("current", "endless", "image", "machine", "queue", "size")
 
     def __init__(self, machine: MachineId) -> None:
         self.machine = machine
         self.current: TaskRef | None = None
         self.size = NOTHING  # what the current task takes
         self.image = ""  # and the image that it needs
+        self.endless = False  # a replica's: no queue waits behind it
         self.queue: deque[TaskRef] = deque()
 
 
@@ -75,7 +76,8 @@
     """A machine as its reports tell it."""
 
     __slots__ = (
-        "address", "capacity", "deaf", "failures", "heard", "id", "idle_since", "images", "last",
+        "address", "capacity", "deaf", "drain", "failures", "heard", "id", "idle_since", "images",
+        "last",
         "lateness", "live", "lost_at", "lost_starts", "newest", "notice", "renewed", "settled",
         "slots", "slow", "spot", "stored", "type", "used", "was_usable",
     )  # fmt: skip
@@ -102,6 +104,7 @@
         self.idle_since = now
         self.failures: dict[JobId, Seconds] = {}
         self.lateness: deque[float] = deque(maxlen=SLOW_SAMPLES)
+        self.drain = False  # only replicas are left here, and there is room for them elsewhere
         self.slow = False  # tasks take much longer here than elsewhere
         self.used: Size | None = None  # what its tasks take; None: to be counted anew
         self.was_usable = False
--- a/src/dapplewick/core/part_status.py
+++ b/src/dapplewick/core/part_status.py
@@ -79,7 +79,9 @@
         # of them were deleted when the state service was back.
         quiet = now - max(m.settled, core.refused)
         if quiet > QUIET_S:
-            silent[m.id] = (round(quiet, 1), core.cancelled_there(m))
+            # Replicas can start elsewhere only once it is gone: it is waited for less.
+            hasty = core.cancelled_there(m) or core.replicas_there(m)
+            silent[m.id] = (round(quiet, 1), hasty)
         if record.up and not record.doomed and (heard_ago < 0.0 or quiet < heard_ago):
             heard_ago = quiet
         if not m.live and not m.slots and now - m.idle_since > 1.0:
@@ -109,7 +111,7 @@
         (
             round(now + core.expected_left(now, live), 1),
             *live.size,
-            GANG_RANK if live.spec.gang else live.spec.rank,
+            GANG_RANK if live.spec.gang or live.spec.daemon else live.spec.rank,
             task.job if live.spec.gang else "",
         )
         for task, live in machine.live.items()
@@ -123,7 +125,7 @@
         "queued": sum(len(s.queue) for s in machine.slots),
         "usable": machine.was_usable,
         "heard": machine.heard,
-        "leaving": machine.notice is not None or machine.slow or machine.deaf,
+        "leaving": machine.notice is not None or machine.slow or machine.deaf or machine.drain,
         "faulty": core.faulty(now, machine),
     }
 
--- a/src/dapplewick/node.py
+++ b/src/dapplewick/node.py
@@ -13,7 +13,7 @@
 import msgspec
 
 from dapplewick.api import NO_METHOD, NO_PATH, PATH, Api
-from dapplewick.config import Settings, host_port
+from dapplewick.config import Settings, StateLimits, host_port
 from dapplewick.coordination.cancellations import CancellationWatch
 from dapplewick.coordination.parts import PartAssigner
 from dapplewick.core.estimates import Estimates
@@ -30,18 +30,21 @@
     NoLease,
     Refused,
     StateClient,
+    TooLarge,
     TooOld,
     Unknown,
     batches,
 )
 from dapplewick.storage.records import (
     CANCELLED,
+    FORMAT_NOW,
     JOBS,
     LEADER,
     NODES,
     PARTS,
     ROOT,
     Mirror,
+    job_of,
 )
 from dapplewick.transport.http import Answer, HttpClient, HttpError, Request, serve_connection
 from dapplewick.transport.listen import Door, Mark
@@ -76,6 +79,8 @@
 LEADER_WRITES = 0.8  # of them the leader's share
 LEAST_BURST = 6.0  # users come at once, so each node may accept some at once
 WATCH_SHARE = 0.35  # of this node's requests: a watch is opened anew after each change
+PROGRESS_RANK = 3  # of changes that only a restart needs
+PROGRESS_RESERVE = 0.3  # of a second's writes are left by them for what users wait for
 PULSE_S = 0.25
 BEHIND_S = 1.0  # a node that is later than this with what is due takes nothing from users
 OWN_SOCKETS = 64  # kept for the state service, the cloud and what a process has open anyway
@@ -123,8 +128,11 @@
         self.boot = f"{time.time_ns():x}-{self.random.getrandbits(32):x}"
         deployment = settings.deployment
         host, port = host_port(settings.outside.state, "outside.state")
-        rps = deployment.state.rps * SHARE / deployment.count
-        writes = deployment.state.write_rps * SHARE
+        # The lower of the limits of now and of later, from the start: both are kept to before
+        # and after a moment that comes without notice.
+        self._limits = deployment.state.lowest()
+        rps = self._limits.rps * SHARE / deployment.count
+        writes = self._limits.write_rps * SHARE
         self._few_writes = writes * (1 - LEADER_WRITES) / max(1, deployment.count - 1)
         self._many_writes = writes * LEADER_WRITES
         self.state = StateClient(connect(host, port), rps, self._few_writes, LEAST_BURST)
@@ -196,8 +204,9 @@
             self._check_parts(now)
         for core in self.cores.values():
             for key in keys:
-                if key.startswith(JOBS):
-                    core.job_changed(now, JobId(key[len(JOBS) :]))
+                job_id = job_of(key)
+                if job_id is not None:
+                    core.job_changed(now, job_id)
             for machine in machines:
                 core.machine_changed(now, machine)
         self._leader_wake.set()
@@ -216,6 +225,7 @@
                     zone, token, self.mirror, self.estimates, now, tuning=self.tuning,
                     aimed=self.settings.deployment.aimed(),
                     lease_s=self.settings.deployment.workers.lease_s,
+                    report_s=self.settings.deployment.workers.report_s,
                 )  # fmt: skip
                 log.info("event=part_owned zone=%s token=%d", zone, token)
 
@@ -308,8 +318,12 @@
                     # A late write of an earlier boot, or of ours without an answer, replaces
                     # only what it knew of: without the condition it took a controller out.
                     _, before = await self.state.get(key)
-                    value = {"boot": self.boot, "zone": self.settings.zone}
-                    version = await self.state.txn({key: before}, {key: value}, leases={key: lease})
+                    value = {
+                        "boot": self.boot, "zone": self.settings.zone, "version": FORMAT_NOW,
+                    }  # fmt: skip
+                    version = await self.state.txn(
+                        {key: before}, {key: value}, leases={key: lease}, urgent=True
+                    )
                     self.lease = lease
                     self.stored(key, value, version)
                 else:
@@ -361,8 +375,9 @@
         assert self.lease is not None
         value = {"node": self.me, "boot": self.boot}
         version = await self.state.txn(
-            {LEADER: self.mirror.version(LEADER)}, {LEADER: value}, leases={LEADER: self.lease}
-        )
+            {LEADER: self.mirror.version(LEADER)}, {LEADER: value}, leases={LEADER: self.lease},
+            urgent=True,
+        )  # fmt: skip
         self.stored(LEADER, value, version)
         await self.current()
 
@@ -439,12 +454,40 @@
         changes = self.leader.plan(now, self.wall())
         self._pass_took = self.now() - now
         # What the budget does not allow is found again by the next pass, or overtaken by more.
-        room = int(self.state.writes.level())
+        level = self.state.writes.level()
+        room = int(level)
+        # What users wait for, and what ends tasks, goes before what is only kept for a restart.
+        least = sum(c.rank < PROGRESS_RANK for c in changes)
+        room = min(room, max(least, int(level - PROGRESS_RESERVE * self.state.writes.rate)))
         if room < len(changes):
             log.debug("event=writes_put_off count=%d", len(changes) - room)
             changes = changes[:room]
-        for batch in batches(changes, value_size, self.settings.deployment.state):
+        for batch in batches(changes, value_size, self._limits_now()):
+            await self._write_some(epoch, now, batch)
+
+    def _limits_now(self) -> StateLimits:
+        """How large values and transactions may be. What controllers of the older version read
+        can't be cut, so until the format is raised a value may be as large as it was."""
+        limits = self.settings.deployment.state
+        if self.mirror.format >= FORMAT_NOW:
+            return self._limits
+        return msgspec.structs.replace(limits, txn_ops=self._limits.txn_ops)
+
+    async def _write_some(self, epoch: Token, now: Seconds, batch: list[Change]) -> None:
+        """Write a batch; where it is refused for its size, each change by itself, so that one
+        that is too large keeps no other back."""
+        assert self.leader is not None
+        try:
             await self._write(epoch, batch)
+        except TooLarge:
+            tied = any(change.tied for change in batch)
+            if len(batch) == 1 or tied:
+                log.error("event=value_refused key=%s", batch[0].key)
+                return
+            for change in batch:
+                await self._write_some(epoch, now, [change])
+            return
+        if self.leader is not None:
             self.leader.written(now, batch)
 
     async def _write(self, epoch: Token, changes: list[Change]) -> None:
@@ -453,7 +496,10 @@
         The epoch is the one that was planned under. The mirror may show another leader's by
         now, and a write under that would pass for the other's.
         """
-        conditions = {LEADER: int(epoch), **{c.key: c.version for c in changes}}
+        conditions = {LEADER: int(epoch)}
+        for change in changes:
+            conditions |= dict(change.needs)
+        conditions |= {c.key: c.version for c in changes}
         puts = {c.key: c.value for c in changes if c.value is not None}
         deletes = [c.key for c in changes if c.value is None]
         try:
@@ -602,7 +648,7 @@
         link = self.links.get(NodeName(record.node)) if record is not None else None
         if link is not None:
             status = core.status(now, self._base(core.zone, core))
-            link.post(f"part:{core.zone}", {**status, "node": self.me})
+            link.post(f"part:{core.zone}", {**status, "node": self.me, "version": FORMAT_NOW})
 
     def _base(self, zone: Zone, core: PartCore) -> int:
         """The newest of a part's statuses that the present leader has confirmed."""
@@ -644,6 +690,7 @@
             message = {
                 "kind": "node",
                 "node": self.me,
+                "version": FORMAT_NOW,
                 "running": running,
                 "parts": parts,
                 "state": self.now() - self.contact_at < CONTACT_S,
@@ -694,7 +741,7 @@
                     zone = str(message["zone"])
                     link.post(f"have:{zone}", {
                         "kind": "have", "zone": zone, "token": message["token"],
-                        "boot": self.boot, "number": number,
+                        "boot": self.boot, "number": number, "version": FORMAT_NOW,
                     })  # fmt: skip
         elif kind == "have":
             self._confirm(
--- a/src/dapplewick/protocol/wire.py
+++ b/src/dapplewick/protocol/wire.py
@@ -55,6 +55,7 @@
     checkpoint: float = 0.0
     save: float = 0.0
     deadline: float | None = None
+    daemon: bool = False  # a service: its tasks are replicas, and run until it is cancelled
 
     @property
     def size(self) -> Size:
@@ -105,8 +106,8 @@
     if not JOB_ID.match(job):
         raise Malformed("name_id: not a job id")
     shape = body.get("shape")
-    if shape not in ("sweep", "group"):
-        raise Malformed("shape: sweep or group is needed")
+    if shape not in ("sweep", "group", "daemon"):
+        raise Malformed("shape: sweep, group or daemon is needed")
     urgency = body.get("urgency")
     if not isinstance(urgency, str) or urgency not in RANK:
         raise Malformed("urgency: unknown")
@@ -142,6 +143,7 @@
         checkpoint=_amount(body, "fold_s"),
         save=_amount(body, "press_s"),
         deadline=deadline,
+        daemon=shape == "daemon",
     )
     return JobId(job), spec
 
--- a/src/dapplewick/storage/client.py
+++ b/src/dapplewick/storage/client.py
@@ -4,6 +4,7 @@
 
 import logging
 from collections.abc import Callable, Iterable, Iterator
+from itertools import groupby
 from typing import Any, TypeVar
 
 import anyio
@@ -34,6 +35,10 @@
         self.failed = failed
 
 
+class TooLarge(Refused):
+    """A value or the transaction is larger than the state service takes."""
+
+
 class NoLease(Exception):
     """The lease has ended."""
 
@@ -56,6 +61,16 @@
         most = max(self.rate, self._least)
         return min(most, self._level + (anyio.current_time() - self._at) * self.rate)
 
+    def drain(self) -> None:
+        """The service itself says that it is too much: nothing is left for now."""
+        self._level = min(0.0, self.level())
+        self._at = anyio.current_time()
+
+    def overdraw(self, amount: float) -> None:
+        """Take an amount whether it is there or not."""
+        self._level = self.level() - amount
+        self._at = anyio.current_time()
+
     def take(self, amount: float = 1.0, reserve: float = 0.0) -> bool:
         """Take an amount; `reserve` is left for calls that matter more."""
         self._level = self.level()
@@ -73,19 +88,23 @@
     changes: Iterable[C], sized: Callable[[C], int], limits: StateLimits
 ) -> Iterator[list[C]]:
     """Cut changes into transactions that the state service takes. One whose value is too large
-    by itself is left out: with it every transaction that it came in would be refused."""
+    by itself is left out: with it every transaction that it came in would be refused. Changes
+    in a row that name the same `tied` go into one."""
     batch: list[C] = []
     total = 0
-    for change in changes:
-        size = sized(change)
-        if size > limits.value_kb * 1024:
-            log.error("event=value_too_large bytes=%d change=%.120r", size, change)
+    listed = enumerate(changes)
+    for _, run in groupby(listed, key=lambda c: getattr(c[1], "tied", "") or c[0]):
+        unit = [change for _, change in run]
+        sizes = [sized(change) for change in unit]
+        if max(sizes) > limits.value_kb * 1024 or len(unit) > limits.txn_ops:
+            log.error("event=value_too_large bytes=%d change=%.120r", max(sizes), unit[0])
             continue
-        if batch and (len(batch) >= limits.txn_ops or total + size > TXN_BYTES):
+        more = len(batch) + len(unit) > limits.txn_ops or total + sum(sizes) > TXN_BYTES
+        if batch and more:
             yield batch
             batch, total = [], 0
-        batch.append(change)
-        total += size
+        batch += unit
+        total += sum(sizes)
     if batch:
         yield batch
 
@@ -109,6 +128,8 @@
             raise Refused(str(err)) from None
         except HttpError as err:
             raise Unknown(str(err)) from None
+        if status == 429:
+            (self.writes if target == "/multi" else self.calls).drain()
         if status in (429, 503):
             raise Refused(str(status))
         return status, answer
@@ -163,13 +184,19 @@
         puts: dict[str, Any],
         deletes: list[str] | None = None,
         leases: dict[str, int] | None = None,
+        urgent: bool = False,
     ) -> int:
-        """An atomic change; gives its revision. Raises Conflict, Refused or Unknown."""
+        """An atomic change; gives its revision. Raises Conflict, Refused or Unknown. An urgent
+        one, on which leadership or presence hangs, may overdraw the budget."""
         deletes = deletes or []
-        self._spend()
         amount = len(puts) + len(deletes)
-        if amount and not self.writes.take(amount):
-            raise Refused("over the write budget")
+        if urgent:
+            self.calls.overdraw(1.0)
+            self.writes.overdraw(amount)
+        else:
+            self._spend()
+            if amount and not self.writes.take(amount):
+                raise Refused("over the write budget")
         body = wire.txn_body(conditions, puts, deletes, leases or {})
         status, answer = await self._call("POST", "/multi", body)
         if status == 200:
@@ -178,7 +205,12 @@
             raise Conflict(wire.txn_result.decode(answer).failed)
         if status == 400 and b"no such lease" in answer:
             raise NoLease
-        log.error("event=state_rejected status=%d answer=%r", status, answer[:200])
+        log.error(
+            "event=state_rejected status=%d answer=%r keys=%s",
+            status, answer[:200], ",".join([*puts, *deletes]),
+        )  # fmt: skip
+        if status == 400:
+            raise TooLarge(str(status))
         raise Refused(str(status))
 
     async def new_lease(self, ttl_ms: int) -> int:
--- a/src/dapplewick/storage/records.py
+++ b/src/dapplewick/storage/records.py
@@ -16,6 +16,10 @@
 log = logging.getLogger("dapplewick.records")
 
 ROOT = "dw/"
+FORMAT = ROOT + "format"
+CHUNKS = ROOT + "d/"  # shares of an array's done and granted tasks
+PLACES = ROOT + "g/"  # shares of a long gang's place
+TYPE_KEYS = ROOT + "t/"  # types, where they are too many for one value
 LEADER = ROOT + "leader"
 TYPES = ROOT + "types"
 JOBS = ROOT + "j/"
@@ -26,6 +30,10 @@
 
 OPEN, DONE, CANCELLED = "open", "done", "cancelled"
 
+# What a controller understands. A version that says nothing of itself is of the first one, and
+# until the record of the format says otherwise only what that understands is written or sent.
+FIRST_FORMAT, FORMAT_NOW = 2, 3
+
 
 class GangPlace(msgspec.Struct, omit_defaults=True):
     """Where an attempt of a gang is held or runs. `over`: it is to end and be cleared."""
@@ -34,6 +42,7 @@
     places: list[tuple[str, str]]  # (zone, machine) of each task
     over: bool = False
     preempt: bool = False
+    shares: int = 0  # of how many keys the places are to be read, if they are not here
 
     def zones(self) -> set[str]:
         return {zone for zone, _ in self.places}
@@ -46,12 +55,54 @@
     done: str = ""
     grants: dict[str, str] = {}
     gang: GangPlace | None = None
+    chunk: int = 0
+
+
+class _RawChunk(msgspec.Struct, omit_defaults=True):
+    done: str = ""
+    grants: dict[str, str] = {}
+
+
+class _RawPlaces(msgspec.Struct):
+    attempt: int
+    places: list[tuple[str, str]]
+
+
+class Chunk:
+    """A share of an array's tasks: what is done of it, and who may run what."""
+
+    __slots__ = ("done", "grants", "value", "version")
+
+    def __init__(self, value: Any, version: int) -> None:
+        raw = msgspec.convert(value, type=_RawChunk)
+        self.value = value
+        self.done = unpack(raw.done)
+        self.grants = {zone: unpack(text) for zone, text in raw.grants.items()}
+        self.version = version
+
+
+def number_bytes(tasks: int) -> int:
+    """What each task number takes at most in a set written as ranges."""
+    return len(str(max(1, tasks - 1))) + 1
+
+
+def chunk_tasks(tasks: int, zones: list[str], value_bytes: int) -> int:
+    """How many tasks a chunk may hold, in the worst order in which they can be done."""
+    rest = value_bytes - 40 - sum(len(zone.encode()) + 8 for zone in zones)
+    return max(1, rest // number_bytes(tasks))
 
 
 class JobRecord:
-    """A job: what was asked, what is done, and who may run what."""
+    """A job: what was asked, what is done, and who may run what.
 
-    __slots__ = ("at", "done", "gang", "grants", "size", "spec", "stage", "version")
+    Where its tasks' numbers may outgrow a value they are kept in chunks of `chunk` tasks, with
+    keys of their own; the record itself then says only what was asked and how it stands.
+    `version` is that of the newest of its keys, `main_version` that of the record itself.
+    """
+
+    __slots__ = (
+        "at", "chunk", "done", "gang", "grants", "main_version", "size", "spec", "stage", "version",
+    )  # fmt: skip
 
     def __init__(self, spec: JobSpec, at: float) -> None:
         self.spec = spec
@@ -61,18 +112,65 @@
         self.done: set[int] = set()
         self.grants: dict[str, set[int]] = {}
         self.gang: GangPlace | None = None
-        self.version = Revision(0)
-
-    def dump(self) -> Any:
+        self.chunk = 0
+        self.version = self.main_version = Revision(0)
+
+    def dump(self, value_bytes: int = 0) -> Any:
+        """The record as it is written. Of a job that is over the grants only say what may still
+        be there: where they don't fit, each is widened to all between its first and its last."""
+        whole = not self.chunk
+        grants = {z: pack(tasks) for z, tasks in self.grants.items() if tasks and whole}
         raw = _RawJob(
             spec=self.spec,
             stage=self.stage,
             at=self.at,
-            done=pack(self.done) if self.stage == OPEN else "",
-            grants={zone: pack(tasks) for zone, tasks in self.grants.items() if tasks},
-            gang=self.gang,
+            done=pack(self.done) if self.stage == OPEN and whole else "",
+            grants=grants,
+            gang=self._short_gang(),
+            chunk=self.chunk,
         )
-        return msgspec.to_builtins(raw)
+        value = msgspec.to_builtins(raw)
+        if value_bytes and grants and not self.open and size_of(value) > value_bytes:
+            value["grants"] = {
+                z: f"{min(tasks)}-{max(tasks)}" for z, tasks in self.grants.items() if tasks
+            }
+        return value
+
+    def _short_gang(self) -> GangPlace | None:
+        if self.gang is None or not self.gang.shares:
+            return self.gang
+        return msgspec.structs.replace(self.gang, places=[])
+
+    def outgrows(self, zones: list[str], value_bytes: int) -> bool:
+        """Whether its record, as one value, may come to be larger than this."""
+        most = size_of(msgspec.to_builtins(_RawJob(spec=self.spec, stage=CANCELLED, at=self.at)))
+        if not self.spec.gang:
+            most += self.spec.tasks * number_bytes(self.spec.tasks) + 40
+            most += sum(len(zone.encode()) + 8 for zone in zones)
+        return most > value_bytes
+
+    def chunk_value(self, number: int) -> Any:
+        """What a chunk's key holds; None if nothing is to be said of its tasks."""
+        low, high = number * self.chunk, (number + 1) * self.chunk
+
+        def mine(tasks: set[int]) -> str:
+            return pack(i for i in tasks if low <= i < high)
+
+        grants = {z: text for z, tasks in self.grants.items() if (text := mine(tasks))}
+        raw = _RawChunk(done=mine(self.done) if self.open else "", grants=grants)
+        return msgspec.to_builtins(raw) or None
+
+    def chunk_values(self) -> dict[int, Any]:
+        """All of its chunks that say anything."""
+        count = -(-self.spec.tasks // self.chunk)
+        return {n: v for n in range(count) if (v := self.chunk_value(n)) is not None}
+
+    def chunks_changed(self, old: JobRecord) -> set[int]:
+        """The chunks in which this draft differs."""
+        tasks = self.done ^ old.done
+        for zone in self.grants.keys() | old.grants.keys():
+            tasks |= self.granted(zone) ^ old.granted(zone)
+        return {index // self.chunk for index in tasks}
 
     @classmethod
     def load(cls, value: Any, version: int) -> JobRecord:
@@ -82,7 +180,8 @@
         job.done = unpack(raw.done)
         job.grants = {zone: unpack(text) for zone, text in raw.grants.items()}
         job.gang = raw.gang
-        job.version = Revision(version)
+        job.chunk = raw.chunk
+        job.version = job.main_version = Revision(version)
         return job
 
     def copy(self) -> JobRecord:
@@ -92,7 +191,9 @@
         job.done = set(self.done)
         job.grants = {zone: set(tasks) for zone, tasks in self.grants.items()}
         job.gang = self.gang
+        job.chunk = self.chunk
         job.version = self.version
+        job.main_version = self.main_version
         return job
 
     @property
@@ -107,6 +208,11 @@
         return self.grants.get(zone, set())
 
 
+def size_of(value: Any) -> int:
+    """How large a value is as it is sent."""
+    return len(msgspec.json.encode(value))
+
+
 class MachineRecord(msgspec.Struct, omit_defaults=True):
     """A machine, as its group's record tells it. `up`: its worker was heard, so launches there
     are allowed from now on (one that is doomed counts as up: it may have been). `doomed`: its
@@ -150,6 +256,13 @@
 class NodeRecord(msgspec.Struct):
     boot: str
     zone: str
+    version: int = FIRST_FORMAT  # what this controller understands
+
+
+class FormatRecord(msgspec.Struct):
+    """The format that every controller understands. It never goes back."""
+
+    version: int
 
 
 class LeaderRecord(msgspec.Struct):
@@ -165,6 +278,22 @@
     at: float
 
 
+def job_of(key: str) -> JobId | None:
+    """The job that a key tells something of."""
+    if key.startswith(JOBS):
+        return JobId(key[len(JOBS) :])
+    if key.startswith((CHUNKS, PLACES)):
+        job, _, number = key[len(CHUNKS) :].rpartition("/")
+        return JobId(job) if number.isdigit() else None
+    return None
+
+
+def _share(name: str) -> tuple[JobId, int]:
+    """The job, and which share of it; ValueError if the name is no share's."""
+    job, _, number = name.rpartition("/")
+    return JobId(job), int(number)
+
+
 class Mirror:
     """A copy of all records, brought up to date by changes in any order or repeated."""
 
@@ -178,6 +307,13 @@
         self.parts: dict[Zone, PartRecord] = {}
         self.nodes: dict[NodeName, NodeRecord] = {}
         self.bookings: dict[str, BookingRecord] = {}
+        self.format = FIRST_FORMAT
+        self.new_nodes: set[NodeName] = set()  # seen with a version that understands all of ours
+        self._mains: dict[JobId, JobRecord] = {}  # records as written, of jobs with more keys
+        self.chunks: dict[JobId, dict[int, Chunk]] = {}
+        self.places: dict[JobId, dict[int, _RawPlaces]] = {}
+        self._main_types: dict[str, MachineType] = {}
+        self._key_types: dict[str, MachineType] = {}
         self.leader: LeaderRecord | None = None
         self.types: dict[str, MachineType] = {}
         self.live_jobs: dict[JobId, None] = {}  # in the order in which they came
@@ -223,23 +359,72 @@
             before = self.jobs.get(JobId(name))
             if job.stage == CANCELLED and (before is None or before.stage != CANCELLED):
                 insort(self._cancellations, (version, JobId(name)))
-            self.jobs[JobId(name)] = job
-            if job.open or job.grants or job.gang:
-                self.live_jobs[JobId(name)] = None
-            else:
-                self.live_jobs.pop(JobId(name), None)
+            self._mains[JobId(name)] = job
+            self._join(JobId(name))
+        elif key.startswith(CHUNKS):
+            job_id, number = _share(name)
+            self.chunks.setdefault(job_id, {})[number] = Chunk(value, version)
+            self._join(job_id)
+        elif key.startswith(PLACES):
+            job_id, number = _share(name)
+            shares = self.places.setdefault(job_id, {})
+            shares[number] = msgspec.convert(value, type=_RawPlaces)
+            self._join(job_id)
         elif key.startswith(MACHINES):
             self._set_group(name, msgspec.convert(value, type=GroupRecord))
         elif key.startswith(PARTS):
             self.parts[Zone(name)] = msgspec.convert(value, type=PartRecord)
         elif key.startswith(NODES):
-            self.nodes[NodeName(name)] = msgspec.convert(value, type=NodeRecord)
+            node = self.nodes[NodeName(name)] = msgspec.convert(value, type=NodeRecord)
+            if node.version >= FORMAT_NOW:
+                self.new_nodes.add(NodeName(name))
+            else:
+                self.new_nodes.discard(NodeName(name))
+        elif key == FORMAT:
+            self.format = max(self.format, msgspec.convert(value, type=FormatRecord).version)
         elif key.startswith(BOOKINGS):
             self.bookings[name] = msgspec.convert(value, type=BookingRecord)
         elif key == LEADER:
             self.leader = msgspec.convert(value, type=LeaderRecord)
         elif key == TYPES:
-            self.types = {t.name: t for t in parse_types(value)}
+            self._main_types = {t.name: t for t in parse_types(value)}
+            self.types = self._main_types | self._key_types
+        elif key.startswith(TYPE_KEYS):
+            for kind in parse_types([value]):
+                self._key_types[name] = kind
+            self.types = self._main_types | self._key_types
+
+    def _join(self, job_id: JobId) -> None:
+        """Put a job together of its keys, in whatever order they changed."""
+        main = self._mains.get(job_id)
+        if main is None:
+            return
+        shares = self.chunks.get(job_id, {}) if main.chunk else {}
+        job = main
+        if main.chunk or (main.gang is not None and main.gang.shares):
+            job = main.copy()
+        if main.chunk:
+            job.done, job.grants = set(), {}
+            for chunk in shares.values():
+                job.version = Revision(max(job.version, chunk.version))
+                if job.stage == OPEN:
+                    job.done |= chunk.done
+                if job.stage != DONE:
+                    for zone, tasks in chunk.grants.items():
+                        job.grants.setdefault(zone, set()).update(tasks)
+        if main.gang is not None and main.gang.shares:
+            read = self.places.get(job_id, {})
+            places: list[tuple[str, str]] = []
+            for number in range(main.gang.shares):
+                share = read.get(number)
+                if share is not None and share.attempt == main.gang.attempt:
+                    places += share.places
+            job.gang = msgspec.structs.replace(main.gang, places=places)
+        self.jobs[job_id] = job
+        if job.open or job.grants or job.gang or self.chunks.get(job_id) or self.places.get(job_id):
+            self.live_jobs[job_id] = None
+        else:
+            self.live_jobs.pop(job_id, None)
 
     def _set_group(self, name: str, group: GroupRecord | None) -> None:
         """A group's record has changed; says of each of its machines that is new, different or
@@ -271,7 +456,21 @@
         name = key[len(ROOT) + 2 :]
         if key.startswith(JOBS):
             self.jobs.pop(JobId(name), None)
+            self._mains.pop(JobId(name), None)
             self.live_jobs.pop(JobId(name), None)
+        elif (job := job_of(key)) is not None:
+            job_id, number = job, int(name.rpartition("/")[2])
+            shares: dict[JobId, dict[int, Any]] = (
+                self.chunks if key.startswith(CHUNKS) else self.places
+            )
+            left = shares.get(job_id, {})
+            left.pop(number, None)
+            if not left:
+                shares.pop(job_id, None)
+            self._join(job_id)
+        elif key.startswith(TYPE_KEYS):
+            self._key_types.pop(name, None)
+            self.types = self._main_types | self._key_types
         elif key.startswith(MACHINES):
             self._set_group(name, None)
         elif key.startswith(PARTS):
@@ -300,9 +499,10 @@
         self._told_cancelled[job_id] = version
         if job is None or not job.open:
             return
-        job = job.copy()
-        job.stage = CANCELLED
-        self.jobs[job_id] = job
+        main = self._mains[job_id].copy()
+        main.stage = CANCELLED
+        self._mains[job_id] = main
+        self._join(job_id)
         insort(self._cancellations, (version, job_id))
         for listener in self.listeners:
             listener(JOBS + job_id)
