--- a/src/dapplewick/cli.py
+++ b/src/dapplewick/cli.py
@@ -106,6 +106,15 @@
     ]
     for zone, part in sorted(said["parts"].items()):
         lines.append(f"part {zone}  owner {part['owner']}  token {part['token']}")
+    # A controller of the version before says nothing of these.
+    versions = "  ".join(f"{node} {v}" for node, v in sorted(said.get("versions", {}).items()))
+    if versions:
+        lines.append(f"format {said['format']}  versions {versions}")
+    for job, service in sorted(said.get("services", {}).items()):
+        lines.append(
+            f"service {job}  replicas {service['replicas']}  granted {service['granted']}  "
+            f"running {service['running']}"
+        )
     jobs = said["jobs"]
     lines.append("jobs " + "  ".join(f"{stage} {n}" for stage, n in sorted(jobs.items())))
     budgets = said["budgets"]
--- a/src/dapplewick/status.py
+++ b/src/dapplewick/status.py
@@ -28,11 +28,22 @@
         "records_age_s": round(now - node.current_at, 1),
         "leader": mirror.leader.node if mirror.leader is not None else None,
         "epoch": mirror.version(LEADER),
+        "format": mirror.format,
+        "versions": {name: record.version for name, record in mirror.nodes.items()},
         "parts": {
             zone: {"owner": part.owner, "token": mirror.version(PARTS + zone)}
             for zone, part in mirror.parts.items()
         },
         "jobs": jobs,
+        "services": {
+            job_id: {
+                "replicas": job.spec.tasks,
+                "granted": sum(len(tasks) for tasks in job.grants.values()),
+                "running": node.running_tasks(job_id),
+            }
+            for job_id, job in mirror.each_live()
+            if job.spec.daemon and job.open
+        },
         "machines": {
             name: {"type": m.type, "zone": m.zone, "spot": m.spot, "up": m.up, "doomed": m.doomed}
             for name, m in mirror.machines.items()
--- a/tests/test_operators.py
+++ b/tests/test_operators.py
@@ -144,7 +144,9 @@
         body = day.job(name_id="run-000001", pieces=6)
         async with anyio.create_task_group() as group:
             group.start_soon(day.user, "run-000001", body, None)
-            await anyio.sleep(20)
+            service = day.job(name_id="run-service", shape="daemon", pieces=2, expected_s=0.0)
+            group.start_soon(day.user, "run-service", service, None)
+            await anyio.sleep(25)
             for node in day.nodes.values():
                 before = node.mirror.revision
                 seen.append(node_status(node))
@@ -158,4 +160,8 @@
     assert any(status["owned"] for status in seen)
     json.dumps(seen)
     for status in seen:
-        assert status_lines(status)
+        lines = status_lines(status)
+        assert "format 3  versions n0 3  n1 3  n2 3" in lines
+        assert "service run-service  replicas 2  granted 2  running 2" in lines
+        del status["versions"], status["format"], status["services"]  # as the version before
+        assert len(status_lines(status)) == len(lines) - 2
