What was given back stays so until its own chunk changes; new services hurry the leader

Cause of the first, found by reading: two chunks of a job are written in two transactions; the owner took the first for a newer version of the record and started again what the second took back.

--- a/src/dapplewick/core/part.py
+++ b/src/dapplewick/core/part.py
@@ -71,6 +71,7 @@
 REPLICA_WAIT_S = 4.0  # and a replica sooner
 STEADY_S = 30.0  # a replica that ran for as long did not fail at once
 LAST_CALL_S = 6.0  # a replica is stopped so long before its machine is taken, wherever it can go
+FORCED_COST = 4.0  # seconds until what is stopped for a replica is gone, and what it loses
 MATE_COST, SPOT_COST, GPU_COST = 30.0, 20.0, 5.0  # seconds a better place for a replica is worth
 DRAIN_S = 75.0  # after this time with nothing but replicas a dear machine is emptied
 DRAIN_PRICE = 2.0  # dear: more than this times the cheapest that they fit
@@ -149,8 +150,14 @@
             for index, single in singles.items():
                 # What was given back under an older version of the record and is granted in
                 # this one was granted anew, or was not yet heard: the leader only takes back
-                # what was said of the version that it changes. So it may run here again.
-                if single.state == RETURNED:
+                # what was said of the version that it changes. So it may run here again. That is
+                # the version of its own key: another chunk of the same job may be written in
+                # the same pass, before the one in which this task is taken back.
+                if (
+                    single.state == RETURNED
+                    and job is not None
+                    and job.task_version(index) != single.returned
+                ):
                     self._again(now, TaskRef(job_id, TaskIndex(index)), single, failed=False)
             for index in sorted(granted - singles.keys()):
                 task = TaskRef(job_id, TaskIndex(index))
@@ -835,7 +842,7 @@
     def _place_for(
         self, now: Seconds, spec: JobSpec, job_id: JobId, able: Iterable[Machine]
     ) -> Machine | None:
-        best: tuple[tuple[bool, float], Machine] | None = None
+        best: tuple[Seconds, Machine] | None = None
         for machine in able:
             room = self.free(machine)
             held = self.held_size(machine.id)
@@ -848,9 +855,11 @@
                         room = room.plus(live.size)
                 if not spec.size.fits(room):
                     continue
-            key = (forced, self._replica_cost(now, spec, job_id, machine))
-            if best is None or key < best[0]:
-                best = (key, machine)
+            # What is stopped goes with one report, and the start comes with the next: that is
+            # sooner than an image.
+            cost = self._replica_cost(now, spec, job_id, machine) + FORCED_COST * forced
+            if best is None or cost < best[0]:
+                best = (cost, machine)
         return best[1] if best is not None else None
 
     def _gives_way(self, live: Live, spec: JobSpec) -> bool:
@@ -1174,18 +1183,22 @@
             job = self.mirror.jobs.get(job_id)
             replica = job is not None and job.spec.daemon
             for index, single in singles.items():
-                if replica and (
-                    single.state == WAITING
-                    and now - max(single.since, single.not_before) > REPLICA_WAIT_S
+                if (
+                    replica
+                    and (
+                        single.state == WAITING
+                        and now - max(single.since, single.not_before) > REPLICA_WAIT_S
+                    )
+                ) or (
+                    single.state in (WAITING, ASSIGNED)
+                    and now - max(single.since, single.not_before) > (LONG_WAIT_S)
                 ):
-                    self._drop(TaskRef(job_id, TaskIndex(index)), single)
-                    self._set(TaskRef(job_id, TaskIndex(index)), single, RETURNED)
-                elif single.state in (WAITING, ASSIGNED) and now - max(
-                    single.since, single.not_before
-                ) > (LONG_WAIT_S):
-                    task = TaskRef(job_id, TaskIndex(index))
-                    self._drop(task, single)
-                    self._set(task, single, RETURNED)
+                    self._give_back(job, TaskRef(job_id, TaskIndex(index)), single)
+
+    def _give_back(self, job: JobRecord | None, task: TaskRef, single: Single) -> None:
+        self._drop(task, single)
+        single.returned = job.task_version(task.number) if job is not None else 0
+        self._set(task, single, RETURNED)
 
     # Gangs
 
--- a/src/dapplewick/core/part_state.py
+++ b/src/dapplewick/core/part_state.py
@@ -25,7 +25,7 @@
 class Single:
     """A task of an array that is granted to this part."""
 
-    __slots__ = ("fails", "machine", "not_before", "queue", "since", "state")
+    __slots__ = ("fails", "machine", "not_before", "queue", "returned", "since", "state")
 
     def __init__(self, state: int, now: Seconds) -> None:
         self.state = state
@@ -34,6 +34,7 @@
         self.since = now
         self.fails = 0
         self.not_before = 0.0
+        self.returned = 0  # the version of its record or chunk under which it was given back
 
 
 class Slot:
--- a/src/dapplewick/node.py
+++ b/src/dapplewick/node.py
@@ -172,6 +172,7 @@
         self._next_check: Check | None = None
         self._check_wake = anyio.Event()
         self._leader_wake = anyio.Event()
+        self._hurry = anyio.Event()
         self._pass_took = 0.0
         self._status_at: dict[Zone, Seconds] = {}
         # Up to which status of which part's owner the leader (a boot of a node) has them.
@@ -202,15 +203,21 @@
         now = self.now()
         if any(k.startswith(PARTS) for k in keys):
             self._check_parts(now)
+        jobs = dict.fromkeys(job for key in keys if (job := job_of(key)) is not None)
+        if self.leader is not None and any(self._is_new_service(job) for job in jobs):
+            self._hurry.set()
         for core in self.cores.values():
-            for key in keys:
-                job_id = job_of(key)
-                if job_id is not None:
-                    core.job_changed(now, job_id)
+            for job_id in jobs:
+                core.job_changed(now, job_id)
             for machine in machines:
                 core.machine_changed(now, machine)
         self._leader_wake.set()
 
+    def _is_new_service(self, job_id: JobId) -> bool:
+        """Users wait for its first replicas: the leader does not rest first."""
+        job = self.mirror.jobs.get(job_id)
+        return job is not None and job.spec.daemon and job.open and not job.grants
+
     def _check_parts(self, now: Seconds) -> None:
         for zone in [Zone(z) for z in self.settings.deployment.zones]:
             part = self.mirror.parts.get(zone)
@@ -405,7 +412,9 @@
             with anyio.move_on_after(0.5):
                 self._leader_wake = anyio.Event()
                 await self._leader_wake.wait()
-            await anyio.sleep(max(PASS_S, min(REST_MOST_S, REST * self._pass_took)))
+            with anyio.move_on_after(max(PASS_S, min(REST_MOST_S, REST * self._pass_took))):
+                await self._hurry.wait()
+            self._hurry = anyio.Event()
 
     def _step_down(self) -> None:
         log.info("event=leader_lost node=%s", self.me)
--- a/src/dapplewick/storage/records.py
+++ b/src/dapplewick/storage/records.py
@@ -101,7 +101,8 @@
     """
 
     __slots__ = (
-        "at", "chunk", "done", "gang", "grants", "main_version", "size", "spec", "stage", "version",
+        "at", "chunk", "chunk_versions", "done", "gang", "grants", "main_version", "size", "spec",
+        "stage", "version",
     )  # fmt: skip
 
     def __init__(self, spec: JobSpec, at: float) -> None:
@@ -113,6 +114,7 @@
         self.grants: dict[str, set[int]] = {}
         self.gang: GangPlace | None = None
         self.chunk = 0
+        self.chunk_versions: dict[int, int] = {}
         self.version = self.main_version = Revision(0)
 
     def dump(self, value_bytes: int = 0) -> Any:
@@ -192,6 +194,7 @@
         job.grants = {zone: set(tasks) for zone, tasks in self.grants.items()}
         job.gang = self.gang
         job.chunk = self.chunk
+        job.chunk_versions = self.chunk_versions
         job.version = self.version
         job.main_version = self.main_version
         return job
@@ -204,6 +207,13 @@
     def open(self) -> bool:
         return self.stage == OPEN
 
+    def task_version(self, index: int) -> int:
+        """The version of the key that says who may run a task: other keys of the same job may
+        change before it and after it."""
+        if not self.chunk:
+            return self.version
+        return self.chunk_versions.get(index // self.chunk, 0)
+
     def granted(self, zone: str) -> set[int]:
         return self.grants.get(zone, set())
 
@@ -405,6 +415,7 @@
             job = main.copy()
         if main.chunk:
             job.done, job.grants = set(), {}
+            job.chunk_versions = {n: chunk.version for n, chunk in shares.items()}
             for chunk in shares.values():
                 job.version = Revision(max(job.version, chunk.version))
                 if job.stage == OPEN:
--- a/tests/test_upgrade.py
+++ b/tests/test_upgrade.py
@@ -31,9 +31,10 @@
     size_of,
 )
 from dapplewick.transport.http import Request
+from dapplewick.types import JobId
 from standins import NEXT, World, now, settings
 from test_days import hand_in, run_script
-from test_four_points import spec
+from test_four_points import Bench, spec
 from test_meetings import finished, leader
 
 DATA = Path(__file__).parent / "data" / "production.json"
@@ -293,6 +294,32 @@
         assert read.version == len(keys)
 
 
+def test_what_was_given_back_stays_so_until_its_own_chunk_changes() -> None:
+    """Two chunks of a job are written one after the other: with the first, what is taken back in
+    the second was started again, while the leader gave it to another part."""
+    bench = Bench(0)
+    job = JobRecord(spec(4, 1.0, 10.0), 0.0)
+    job.chunk = 2
+    bench.put(JOBS + "run-1", job.dump())
+    for number in (0, 1):
+        bench.put(f"{CHUNKS}run-1/{number}", {"grants": {"a": f"{2 * number}"}})
+    job_id = JobId("run-1")
+    bench.core.job_changed(0.0, job_id)
+    bench.core.tick(100.0)
+
+    def returned(at: float) -> list[int]:
+        return sorted(bench.core.status(at)["jobs"]["run-1"]["returned"])
+
+    assert returned(100.0) == [0, 2]
+    bench.put(f"{CHUNKS}run-1/0", {"grants": {"b": "0"}})
+    bench.core.job_changed(101.0, job_id)
+    assert returned(101.0) == [2]
+    # Granted anew, or changed without being taken back: it may run here.
+    bench.put(f"{CHUNKS}run-1/1", {"grants": {"a": "2", "b": "3"}})
+    bench.core.job_changed(102.0, job_id)
+    assert returned(102.0) == []
+
+
 def test_a_cancelled_record_that_outgrew_its_value_says_at_least_what_may_be_there() -> None:
     job = drawn_job(2000, 4)
     job.stage = "cancelled"
