--- a/tests/test_upgrade.py
+++ b/tests/test_upgrade.py
@@ -33,7 +33,16 @@
 from dapplewick.transport.http import Request
 from dapplewick.types import JobId
 from standins import NEXT, World, now, settings
-from test_days import hand_in, run_script
+from test_days import (
+    cut_from_state,
+    hand_in,
+    late_copies,
+    lost_answers,
+    quick_restarts,
+    run_script,
+    state_outage,
+    zone_cut,
+)  # fmt: skip
 from test_four_points import Bench, spec
 from test_meetings import finished, leader
 
@@ -248,6 +257,37 @@
     )
 
 
+@pytest.mark.parametrize("seed", [1, 2])
+@pytest.mark.parametrize(
+    "trouble", [quick_restarts, late_copies, lost_answers, cut_from_state, state_outage, zone_cut],
+    ids=lambda f: f.__name__,
+)  # fmt: skip
+def test_arrays_in_chunks_keep_the_rules_in_every_trouble(trouble: Trouble, seed: int) -> None:
+    """Grants move between parts, tasks end in no order, some jobs are cancelled, and the limits
+    are the lower ones from the start."""
+    world = World(seed)
+    world.state.lowered, world.state.rate = True, float(NEXT["write_rps"])
+
+    async def script() -> None:
+        await anyio.sleep(3)
+        for n in range(5):
+            each = [world.random.choice([0.5, 3.0, 12.0]) for _ in range(240)]
+            body = world.job(
+                name_id=f"run-{n:06d}", pieces=240, cpus=0.25, ram_gb=1.0, true_s=4.0,
+                true_each=each, scatter=n == 1, crew="blue" if n == 2 else "red", expected_s=4.0,
+            )  # fmt: skip
+            world.group.start_soon(world.user, body["name_id"], body, 40.0 if n == 3 else None)
+        await trouble(world)
+        world.calm_at = now()
+
+    run_script(world, 330.0, script)
+    assert world.broken == [] and finished(world) == {} and len(world.told) == 5
+    # In chunks from the start, whatever is left of them.
+    assert all(world.state.keys[f"{JOBS}run-{n:06d}"][0]["chunk"] for n in range(5))
+    assert any(key.startswith(CHUNKS) for _, key, _, gone in world.state.log if not gone)
+    assert not any(key.startswith(CHUNKS) for key in world.state.keys)  # nothing is left behind
+
+
 def hand_in_large(world: World, first: int) -> None:
     """Arrays whose records outgrow the lower limit, done in no order."""
     for n in range(first, first + 2):
