In an outage what is granted starts, as long as no cancellation can have been missed

Cause: owners' leases end in an outage for all, and without one nothing was started, though what is granted is theirs until they give it back, and a newer owner takes an unheard machine for possibly running it. With an answer of every peer the starts go on; without, they stop after 9 s as before. Singles that wait long are not given back meanwhile: nobody could take them. A test brings both about.

Also: records that wait to be cut are no longer tried whole, which logged an error with each pass.

--- a/src/dapplewick/core/leader.py
+++ b/src/dapplewick/core/leader.py
@@ -281,6 +281,8 @@
                 return []
             out = self._place_shares(job_id, job, rank)
             value = job.dump(self._value_bytes)
+            if self.mirror.format >= FORMAT_NOW and size_of(value) > self._value_bytes:
+                return []  # it is cut first; what is not written is found again
             return [*out, Change(key, value, job.main_version, rank)]
         out = []
         if (job.stage, job.gang) != (old.stage, old.gang):
--- a/src/dapplewick/core/machines.py
+++ b/src/dapplewick/core/machines.py
@@ -97,6 +97,10 @@
         for name, (group, rank) in self._drafts.items():
             if name in self._cut:
                 continue
+            if self.mirror.format >= FORMAT_NOW and len(group.machines) > self._most(
+                group.machines
+            ):
+                continue  # its turn to be cut comes in one of the next passes
             key = MACHINES + name
             value = msgspec.to_builtins(group) if group.machines else None
             out.append(Change(key, value, self.mirror.version(key), rank))
--- a/src/dapplewick/core/part.py
+++ b/src/dapplewick/core/part.py
@@ -328,8 +328,8 @@
             self.dirty = True
         return usable
 
-    def tick(self, now: Seconds, wall: Seconds = 0.0) -> None:
-        """Time has passed."""
+    def tick(self, now: Seconds, wall: Seconds = 0.0, followed: bool = True) -> None:
+        """Time has passed. `followed`: the records are being followed, so the leader may be."""
         if self.later:
             ready = [t for t in self.later if self._not_before(t) <= now]
             if ready:
@@ -347,7 +347,9 @@
             for job_id, hold in self.holds.items():
                 self._check_hold(now, job_id, hold)
             self._drain_dear(now)
-            self._return_long_waits(now)
+            if followed:
+                # In an outage nobody could give it to another part, and here it may still start.
+                self._return_long_waits(now)
         self._join_all(now)
 
     # Bookkeeping of what is where
--- a/src/dapplewick/node.py
+++ b/src/dapplewick/node.py
@@ -58,6 +58,7 @@
 RENEW_S = 1.3
 WATCH_MS = 4000
 CURRENT_S = 9.0  # with records older than this, nothing is launched
+FOLLOWED_S = 6.0  # an open watch answers sooner than that, unless there is an outage
 MARGIN_S = 3.0
 PASS_S = 0.25
 STAND_S = 0.3  # a controller that does not lead looks this often whether it should
@@ -639,7 +640,7 @@
             now = self.now()
             for zone, core in list(self.cores.items()):
                 try:
-                    core.tick(now, self.wall())
+                    core.tick(now, self.wall(), now - self.current_at < FOLLOWED_S)
                     due = gap if core.dirty else STATUS_IDLE_S
                     if now - self._status_at.get(zone, -1e9) >= due * 0.9:
                         self._status_at[zone] = now
@@ -805,7 +806,14 @@
             # here adds to it; a hanging machine goes on only within it.
             known_at = max(self.current_at, self.cancellations.known_at(now))
             if now - known_at < workers.cancel_s - workers.lease_s - MARGIN_S:
-                may_launch = self.lease_valid() and now - self.current_at < CURRENT_S
+                # A start needs no lease: should there be a newer owner, what this machine is told
+                # under our token is on it when it first reports under the newer one, and until
+                # then that owner takes it for unheard. What the records grant to us is taken
+                # back only when we say that it is not here. So in an outage starts go on, as
+                # long as no cancellation can have been missed.
+                may_launch = (self.lease_valid() and now - self.current_at < CURRENT_S) or (
+                    now - self.cancellations.known_at(now) < CURRENT_S
+                )
                 orders = core.report(now, report, may_launch)
                 if core.dirty:
                     self._leader_wake.set()
--- a/tests/test_meetings.py
+++ b/tests/test_meetings.py
@@ -151,6 +151,39 @@
     assert max(world.started_after_cancel.values(), default=0.0) < 5.0
 
 
+@pytest.mark.parametrize("lost", [False, True], ids=["told", "lost"])
+def test_in_an_outage_what_is_granted_starts_unless_a_cancellation_may_be_missed(
+    lost: bool,
+) -> None:
+    world = World(12)
+    begun: list[int] = []
+
+    async def script() -> None:
+        await anyio.sleep(3)
+        body = world.job(name_id="run-first", pieces=20, cpus=4.0, true_s=25.0, expected_s=25.0)
+        world.group.start_soon(world.user, "run-first", body, None)
+        await anyio.sleep(4)
+        world.cloud.down = True  # no more machines than these
+        hand_in(world, 6, pieces=20, cpus=4.0, true_s=25.0, expected_s=25.0)
+        await anyio.sleep(16)
+        if lost:
+            world.cut_peers.update(world.names)
+        world.state.set_down(True)
+        await anyio.sleep(10)
+        begun.append(world.starts)
+        await anyio.sleep(16)
+        begun.append(world.starts)
+        world.state.set_down(False)
+        world.cut_peers.clear()
+        world.cloud.down = False
+        world.calm_at = now()
+
+    run_script(world, 200.0, script)
+    assert world.broken == [] and finished(world) == {}
+    assert begun[0] > 4
+    assert (begun[1] == begun[0]) is lost
+
+
 # What controllers say of cancellations
 
 
