--- a/tests/test_upgrade.py
+++ b/tests/test_upgrade.py
@@ -44,7 +44,7 @@
     zone_cut,
 )  # fmt: skip
 from test_four_points import Bench, spec
-from test_meetings import finished, leader
+from test_meetings import cancel, finished, leader
 
 DATA = Path(__file__).parent / "data" / "production.json"
 Trouble = Callable[[World], Awaitable[None]]
@@ -298,6 +298,42 @@
         world.group.start_soon(world.user, body["name_id"], body, None)
 
 
+@pytest.mark.parametrize("seed", range(1, 5))
+def test_the_limits_may_fall_while_records_are_cut(seed: int) -> None:
+    """At a drawn moment from when the format is raised: before, between and after the writes for
+    each record, with a crash of the leader in the middle for half of the seeds."""
+    world = World(seed)
+    world.old, world.old_names = production.load(), set(world.names)
+
+    async def script() -> None:
+        await anyio.sleep(2)
+        hand_in_large(world, 0)
+        hand_in_large(world, 2)
+        await anyio.sleep(24)
+        for name in world.names:
+            world.old_names.discard(name)
+            world.crash(name)
+            world.start_node(name)
+            await anyio.sleep(3)
+        while FORMAT not in world.state.keys:
+            await anyio.sleep(0.05)
+        await anyio.sleep(world.random.uniform(0.0, 2.5))
+        world.state.lowered, world.state.rate = True, float(NEXT["write_rps"])
+        if seed % 2:
+            await anyio.sleep(world.random.uniform(0.0, 1.0))
+            name = leader(world)
+            world.crash(name)
+            await anyio.sleep(0.5)
+            world.start_node(name)
+        await cancel(world, world.names[0], ["run-large1"])
+        world.calm_at = now()
+
+    run_script(world, 260.0, script)
+    assert world.broken == [] and finished(world) == {} and len(world.told) == 4
+    assert "run-large1" in world.cancelled_at
+    assert not any(key.startswith(CHUNKS) for key in world.state.keys)
+
+
 # Records over several keys
 
 
