--- a/tests/test_meetings.py
+++ b/tests/test_meetings.py
@@ -18,6 +18,11 @@
 from dapplewick.storage.records import LEADER
 from dapplewick.transport.http import Request
 from standins import WORKERS, World, now
+from test_checks_can_fail import (
+    no_stop_of_cancelled_tasks,
+    no_team_limit,
+    no_wait_for_unheard_machines,
+)
 from test_days import (
     all_crash,
     blinks,
@@ -925,3 +930,23 @@
     patch(monkeypatch)
     with pytest.raises(AssertionError):
         test()
+
+
+MEETING_GUARDS: list[tuple[Patch, Script, str]] = [
+    (no_wait_for_unheard_machines, unreachable_with_long_tasks, "ran_twice"),
+    (no_wait_for_unheard_machines, zone_cut_and_calm, "ran_twice"),
+    (no_wait_for_unheard_machines, cut_leader_and_new_one, "ran_twice"),
+    (no_stop_of_cancelled_tasks, cut_leader_and_new_one, "ran_cancelled"),
+    (no_team_limit, overload, "quota"),
+]
+
+
+@pytest.mark.parametrize(
+    ("patch", "script", "rule"), MEETING_GUARDS, ids=lambda c: getattr(c, "__name__", c)
+)
+def test_where_troubles_meet_a_guard_that_is_taken_out_breaks_its_rule(
+    patch: Patch, script: Script, rule: str, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    patch(monkeypatch)
+    worlds = (day(script, seed, 420.0) for seed in (1, 2))
+    assert any(b.startswith(rule) for world in worlds for b in world.broken)
