One rule for the limits in force, one size of a value, one look at what peers told for a report

The interface asked the settings again what the node already knows (limits_now); the node had a second measure of a value's size beside the records'; each report asked twice how old the peers' word is. What they answer is the same.

--- a/src/dapplewick/api.py
+++ b/src/dapplewick/api.py
@@ -8,7 +8,7 @@
 
 import msgspec
 
-from dapplewick.config import Deployment
+from dapplewick.config import Deployment, StateLimits
 from dapplewick.protocol.wire import JobSpec, Malformed, job_view, parse_submission
 from dapplewick.storage.client import Conflict, Refused, StateClient, Unknown
 from dapplewick.storage.records import (
@@ -48,6 +48,8 @@
 
     async def current(self) -> None: ...
 
+    def limits_now(self) -> StateLimits: ...
+
     def stored(self, key: str, value: object, version: int) -> None: ...
 
     def running_tasks(self, job: JobId) -> int: ...
@@ -65,7 +67,6 @@
     def __init__(self, world: World, deployment: Deployment) -> None:
         self.world = world
         self.deployment = deployment
-        self.zones = deployment.zones
         self.teams = {t.name: t for t in deployment.teams}
 
     async def handle(self, request: Request) -> Answer | None:
@@ -108,12 +109,6 @@
             log.debug("event=unavailable reason=%s", err)
             return UNAVAILABLE
 
-    def _value_bytes(self) -> int:
-        """What a value may hold: the lower of the limits as soon as the format allows it."""
-        limits = self.deployment.state
-        new = self.world.mirror.format >= FORMAT_NOW
-        return limits.lowest().value_bytes if new else limits.value_bytes
-
     def _why_never(self, spec: JobSpec) -> str | None:
         """Why a job can never run, if so."""
         team = self.teams.get(spec.team)
@@ -168,9 +163,9 @@
             known = sorted({t for t in spec.types if t in mirror.types})
             spec = msgspec.structs.replace(spec, types=known)
         job = JobRecord(spec, self.world.wall())
-        room = self._value_bytes()
-        if mirror.format >= FORMAT_NOW and not spec.gang and job.outgrows(self.zones, room):
-            job.chunk = chunk_tasks(spec.tasks, self.zones, room)
+        zones, room = self.deployment.zones, self.world.limits_now().value_bytes
+        if mirror.format >= FORMAT_NOW and not spec.gang and job.outgrows(zones, room):
+            job.chunk = chunk_tasks(spec.tasks, zones, room)
         value = job.dump()
         if size_of(value) > room:
             return error(400, "the texts are too long together")
@@ -228,7 +223,7 @@
             cancelled.grants = job.grants
             cancelled.gang = job.gang
             cancelled.chunk = job.chunk
-            value = cancelled.dump(self._value_bytes())
+            value = cancelled.dump(self.world.limits_now().value_bytes)
             try:
                 version = await self.world.state.txn({key: job.main_version}, {key: value})
             except Conflict:
--- a/src/dapplewick/node.py
+++ b/src/dapplewick/node.py
@@ -45,6 +45,7 @@
     ROOT,
     Mirror,
     job_of,
+    size_of,
 )
 from dapplewick.transport.http import Answer, HttpClient, HttpError, Request, serve_connection
 from dapplewick.transport.listen import Door, Mark
@@ -95,10 +96,6 @@
 BEHIND = Answer(503, b'{"error":"overloaded"}', 2)
 
 
-def value_size(change: Change) -> int:
-    return len(msgspec.json.encode(change.value))
-
-
 class Check:
     """One look whether the mirror is current, shared by all who wait for it."""
 
@@ -472,10 +469,10 @@
         if room < len(changes):
             log.debug("event=writes_put_off count=%d", len(changes) - room)
             changes = changes[:room]
-        for batch in batches(changes, value_size, self._limits_now()):
+        for batch in batches(changes, lambda change: size_of(change.value), self.limits_now()):
             await self._write_some(epoch, now, batch)
 
-    def _limits_now(self) -> StateLimits:
+    def limits_now(self) -> StateLimits:
         """How large values and transactions may be. What controllers of the older version read
         can't be cut, so until the format is raised a value may be as large as it was."""
         limits = self.settings.deployment.state
@@ -804,16 +801,15 @@
             # keep them up only as long as that is still in time. A lease counts from when the
             # report was sent, so neither a report held back nor a process that stands still
             # here adds to it; a hanging machine goes on only within it.
-            known_at = max(self.current_at, self.cancellations.known_at(now))
-            if now - known_at < workers.cancel_s - workers.lease_s - MARGIN_S:
+            told_at = self.cancellations.known_at(now)
+            if now - max(self.current_at, told_at) < workers.cancel_s - workers.lease_s - MARGIN_S:
                 # A start needs no lease: should there be a newer owner, what this machine is told
                 # under our token is on it when it first reports under the newer one, and until
                 # then that owner takes it for unheard. What the records grant to us is taken
                 # back only when we say that it is not here. So in an outage starts go on, as
                 # long as no cancellation can have been missed.
-                may_launch = (self.lease_valid() and now - self.current_at < CURRENT_S) or (
-                    now - self.cancellations.known_at(now) < CURRENT_S
-                )
+                followed = self.lease_valid() and now - self.current_at < CURRENT_S
+                may_launch = followed or now - told_at < CURRENT_S
                 orders = core.report(now, report, may_launch)
                 if core.dirty:
                     self._leader_wake.set()
