Groups of machines of any size are split within the lower limits

Cause: a group was cut in one transaction. With a value of 1 KiB and four writes that is enough for 104 machines; a larger group was refused with every pass, and nothing on its machines could change. Now a group that needs more writes is copied to new groups first and removed last.

--- a/src/dapplewick/core/machines.py
+++ b/src/dapplewick/core/machines.py
@@ -67,6 +67,7 @@
         self._up_since: dict[MachineId, Seconds] = {}
         self._up_at: dict[str, Seconds] = {}
         self._drafts: dict[str, tuple[GroupRecord, int]] = {}
+        self._splitting: str | None = None  # the oversized group that is split in this pass
 
     def were_deleted(self, machines: Iterable[MachineId]) -> None:
         self.deleted.update(machines)
@@ -84,57 +85,93 @@
     # Drafts
 
     def begin(self) -> None:
+        """Start a pass: forget the drafts, and choose the next oversized group to split."""
         self._drafts.clear()
-        self._cut: list[str] = []
+        self._splitting = None
         if self.mirror.format >= FORMAT_NOW:
-            large = (
-                n for n, g in self.mirror.groups.items() if len(g.machines) > self._most(g.machines)
-            )
-            self._cut = list(large)[:1]
+            oversized = (name for name, group in self.mirror.groups.items() if self._over(group))
+            self._splitting = next(oversized, None)
 
     def changes(self) -> list[Change]:
+        """The writes for all drafts, and for the group that is being split."""
         out = []
         for name, (group, rank) in self._drafts.items():
-            if name in self._cut:
+            if name == self._splitting:
                 continue
-            if self.mirror.format >= FORMAT_NOW and len(group.machines) > self._most(
-                group.machines
-            ):
-                continue  # its turn to be cut comes in one of the next passes
+            if self.mirror.format >= FORMAT_NOW and self._over(group):
+                continue  # it is split in one of the next passes
             key = MACHINES + name
             value = msgspec.to_builtins(group) if group.machines else None
             out.append(Change(key, value, self.mirror.version(key), rank))
-        return out + self._cut_changes()
+        return out + self._split_changes()
+
+    def _over(self, group: GroupRecord) -> bool:
+        """Whether a group has more machines than the lower limit lets a value hold."""
+        return len(group.machines) > self._most(group.machines)
 
     def _most(self, machines: Iterable[str]) -> int:
         """How many machines with names like these a record may hold."""
         longest = max((len(m) for m in machines), default=10)
         return max(1, min(GROUP_MOST, (self._value_bytes - GROUP_BYTES) // (longest + STATE_BYTES)))
 
-    def _cut_changes(self) -> list[Change]:
-        """Groups that were written when a value could hold more are cut, one in each pass, all
-        of it at once: whichever limit is in force, the old key gets smaller in the same moment."""
-        out: list[Change] = []
-        for name in self._cut:
-            draft = self._drafts.get(name)
-            group = draft[0] if draft is not None else self.mirror.groups[name]
-            most = self._most(group.machines)
-            machines = list(group.machines.items())
-            pieces = [dict(machines[i : i + most]) for i in range(0, len(machines), most)]
-            for n, piece in enumerate(pieces[: self._txn_ops]):
-                key = MACHINES + (name if n == 0 else self._free_name(name, n))
-                if n == self._txn_ops - 1:
-                    # What a transaction has no room for stays here, and is cut in the next pass.
-                    piece = dict(machines[n * most :])
-                value = msgspec.to_builtins(msgspec.structs.replace(group, machines=piece))
-                out.append(Change(key, value, self.mirror.version(key), SOON, tied=name))
-        return out
+    def _split_changes(self) -> list[Change]:
+        """Split a group that was written when a value could hold more, one in each pass.
+
+        Where the pieces fit into one transaction, the group is split at once. A larger one can't
+        be rewritten in part once the limit has fallen, so its machines are copied to new groups
+        first; the group is removed when each of them is in a newer one. In between the newer
+        record of a machine counts (`Mirror`), so a change of leader on the way loses nothing.
+        """
+        name = self._splitting
+        if name is None:
+            return []
+        draft = self._drafts.get(name)
+        group = draft[0] if draft is not None else self.mirror.groups[name]
+        pieces = self._pieces(group, list(group.machines))
+        if not pieces:
+            return [self._removal(name)]
+        if len(pieces) <= self._txn_ops:
+            names = [name, *self._free_names(name, len(pieces) - 1)]
+            return [
+                self._put(key, piece, tied=name) for key, piece in zip(names, pieces, strict=True)
+            ]
+        stored = self.mirror.groups[name]
+        left = [m for m in stored.machines if self.mirror.group_of.get(MachineId(m)) == name]
+        if not left:
+            log.info("event=group_split group=%s", name)
+            return [self._removal(name)]
+        pieces = self._pieces(stored, left)
+        names = self._free_names(name, len(pieces))
+        return [self._put(key, piece) for key, piece in zip(names, pieces, strict=True)]
 
-    def _free_name(self, name: str, least: int) -> str:
-        number = least
-        while f"{name}.{number}" in self.mirror.groups or f"{name}.{number}" in self._drafts:
-            number += 1000
-        return f"{name}.{number}"
+    def _pieces(self, group: GroupRecord, machines: list[str]) -> list[GroupRecord]:
+        """These machines of a group, in as many groups as they need."""
+        most = self._most(machines)
+        return [
+            msgspec.structs.replace(
+                group, machines={m: group.machines[m] for m in machines[first : first + most]}
+            )
+            for first in range(0, len(machines), most)
+        ]
+
+    def _put(self, name: str, group: GroupRecord, tied: str = "") -> Change:
+        key = MACHINES + name
+        value = msgspec.to_builtins(group)
+        return Change(key, value, self.mirror.version(key), SOON, tied=tied)
+
+    def _removal(self, name: str) -> Change:
+        return Change(MACHINES + name, None, self.mirror.version(MACHINES + name), SOON)
+
+    def _free_names(self, name: str, count: int) -> list[str]:
+        """Unused names for groups beside this one."""
+        out: list[str] = []
+        number = 1
+        while len(out) < count:
+            candidate = f"{name}.{number}"
+            if candidate not in self.mirror.groups and candidate not in self._drafts:
+                out.append(candidate)
+            number += 1
+        return out
 
     def _draft(self, name: str, rank: int) -> GroupRecord:
         draft = self._drafts.get(name)
@@ -182,7 +219,7 @@
                 self._draft(known, rank).machines.update(states)
                 return
         if name in self.mirror.groups or name in self._drafts:
-            name = self._free_name(name, 1)  # of this rental some may be recorded already
+            (name,) = self._free_names(name, 1)  # some of this rental may be recorded already
         self._drafts[name] = (
             GroupRecord(type=type_, zone=zone, spot=spot, machines=states),
             rank,
--- a/src/dapplewick/storage/records.py
+++ b/src/dapplewick/storage/records.py
@@ -314,6 +314,8 @@
         self.machines: dict[MachineId, MachineRecord] = {}
         self.groups: dict[str, GroupRecord] = {}
         self.group_of: dict[MachineId, str] = {}
+        self._groups_listing: dict[MachineId, set[str]] = {}
+        self._group_versions: dict[str, int] = {}
         self.parts: dict[Zone, PartRecord] = {}
         self.nodes: dict[NodeName, NodeRecord] = {}
         self.bookings: dict[str, BookingRecord] = {}
@@ -381,7 +383,7 @@
             shares[number] = msgspec.convert(value, type=_RawPlaces)
             self._join(job_id)
         elif key.startswith(MACHINES):
-            self._set_group(name, msgspec.convert(value, type=GroupRecord))
+            self._set_group(name, msgspec.convert(value, type=GroupRecord), version)
         elif key.startswith(PARTS):
             self.parts[Zone(name)] = msgspec.convert(value, type=PartRecord)
         elif key.startswith(NODES):
@@ -437,26 +439,45 @@
         else:
             self.live_jobs.pop(job_id, None)
 
-    def _set_group(self, name: str, group: GroupRecord | None) -> None:
-        """A group's record has changed; says of each of its machines that is new, different or
-        gone."""
+    def _set_group(self, name: str, group: GroupRecord | None, version: int = 0) -> None:
+        """A group's record has changed, or is gone. A machine may be listed by two groups while
+        an oversized one is copied: the newer record counts, in whatever order they are read."""
         old = self.groups.pop(name, None)
-        if group is not None:
-            self.groups[name] = group
         before = old.machines if old is not None else {}
         after = group.machines if group is not None else {}
-        for machine in [m for m in before if m not in after]:
-            if self.group_of.get(MachineId(machine)) == name:
-                del self.group_of[MachineId(machine)]
-                self.machines.pop(MachineId(machine), None)
-        for machine, state in after.items():
-            if before.get(machine) != state:
-                assert group is not None
-                self.machines[MachineId(machine)] = group.record(machine)
-                self.group_of[MachineId(machine)] = name
-        for machine in {**before, **after}:
-            if before.get(machine) != after.get(machine):
-                self.changed_machines.append(MachineId(machine))
+        if group is not None:
+            self.groups[name] = group
+            self._group_versions[name] = version
+        else:
+            self._group_versions.pop(name, None)
+        for text in {**before, **after}:
+            machine = MachineId(text)
+            if before.get(text) == after.get(text) and self.group_of.get(machine) == name:
+                continue
+            listing = self._groups_listing.setdefault(machine, set())
+            if text in after:
+                listing.add(name)
+            else:
+                listing.discard(name)
+            self._resolve_machine(machine, listing)
+
+    def _resolve_machine(self, machine: MachineId, listing: set[str]) -> None:
+        """Take over what the newest group that lists a machine says of it."""
+        if not listing:
+            del self._groups_listing[machine]
+            self.group_of.pop(machine, None)
+            record = None
+        else:
+            newest = max(listing, key=self._group_versions.__getitem__)
+            self.group_of[machine] = newest
+            record = self.groups[newest].record(machine)
+        if record == self.machines.get(machine):
+            return
+        if record is None:
+            del self.machines[machine]
+        else:
+            self.machines[machine] = record
+        self.changed_machines.append(machine)
 
     def _remove(self, key: str, version: int) -> None:
         self.versions.pop(key, None)
--- a/tests/production.py
+++ b/tests/production.py
@@ -1,7 +1,8 @@
-"""The version in production, from the repository's history, beside the present one.
+"""Earlier versions of the service, from the repository's history, beside the present one.
 
-`deploy/service.toml` names its commit. Its package is read from there under another name, so that
-controllers of both versions run in one process. A missing history fails the tests that need it.
+`deploy/service.toml` names the commit in production. The package of a commit is read from there
+under another name, so that controllers of several versions run in one process. A missing history
+fails the tests that need it.
 """
 
 from __future__ import annotations
@@ -19,37 +20,47 @@
 from types import SimpleNamespace
 
 ROOT = Path(__file__).resolve().parent.parent
-NAME = "dapplewick_in_production"
+
+# The last main before the present round of work: it has services and writes records of format 3.
+PREVIOUS_MAIN = "08c84f6"
 
 
 def commit() -> str:
+    """The commit that is in production."""
     text = (ROOT / "deploy" / "service.toml").read_text()
     return str(tomllib.loads(text)["production"])
 
 
-@lru_cache(maxsize=1)
 def load() -> SimpleNamespace:
     """The modules of the version in production."""
+    return load_commit(commit())
+
+
+@lru_cache(maxsize=2)
+def load_commit(revision: str) -> SimpleNamespace:
+    """The modules of the version at a commit."""
+    name = f"dapplewick_at_{revision[:7]}"
     archive = subprocess.run(
-        ["git", "-C", str(ROOT), "archive", commit(), "src/dapplewick"],
+        ["git", "-C", str(ROOT), "archive", revision, "src/dapplewick"],
         check=True, capture_output=True,
     ).stdout  # fmt: skip
-    folder = Path(tempfile.mkdtemp(prefix="production-"))
+    folder = Path(tempfile.mkdtemp(prefix="earlier-version-"))
     with tarfile.open(fileobj=io.BytesIO(archive)) as tar:
         tar.extractall(folder, filter="data")
-    (folder / "src" / "dapplewick").rename(folder / NAME)
-    for path in (folder / NAME).rglob("*.py"):
-        text = re.sub(r"\b(from|import) dapplewick\b", rf"\1 {NAME}", path.read_text())
+    (folder / "src" / "dapplewick").rename(folder / name)
+    for path in (folder / name).rglob("*.py"):
+        text = re.sub(r"\b(from|import) dapplewick\b", rf"\1 {name}", path.read_text())
         path.write_text(text)
     sys.path.insert(0, str(folder))
 
-    def module(name: str) -> object:
-        return importlib.import_module(f"{NAME}.{name}")
+    def module(path: str) -> object:
+        return importlib.import_module(f"{name}.{path}")
 
     return SimpleNamespace(
         Node=module("node").Node,  # type: ignore[attr-defined]
         config=module("config"),
         http=module("transport.http"),
+        machines=module("core.machines"),
         records=module("storage.records"),
         wire=module("protocol.wire"),
     )
--- /dev/null
+++ b/tests/rolls.py
@@ -0,0 +1,177 @@
+"""Whole days on which the controllers are replaced one after the other by this version."""
+
+from __future__ import annotations
+
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass, field
+from types import SimpleNamespace
+
+import anyio
+
+from dapplewick.storage.records import FORMAT, FORMAT_NOW
+from standins import NEXT, World, now
+from test_days import run_script
+from test_meetings import leader
+
+Trouble = Callable[[World], Awaitable[None]]
+
+
+async def nothing(world: World) -> None:
+    pass
+
+
+async def dies_before_its_turn(world: World) -> None:
+    await anyio.sleep(14)
+    world.crash("n2")
+    await anyio.sleep(2)
+    world.start_node("n2")  # still with the old version
+
+
+async def outage(world: World) -> None:
+    await anyio.sleep(20)
+    world.state.set_down(True)
+    await anyio.sleep(14)
+    world.state.set_down(False)
+
+
+async def all_killed(world: World) -> None:
+    await anyio.sleep(22)
+    for name in world.names:
+        world.crash(name)
+    await anyio.sleep(1)
+    for name in world.names:
+        world.start_node(name)
+
+
+async def leaders_in_turn(world: World) -> None:
+    """New, old and new lead one after the other."""
+    for _ in range(5):
+        await anyio.sleep(9)
+        name = leader(world)
+        world.crash(name)
+        await anyio.sleep(0.3)
+        world.start_node(name)
+
+
+async def cut(world: World) -> None:
+    await anyio.sleep(18)
+    name = leader(world)
+    world.modes[(name, "state")] = "cut"
+    world.cut_peers.add(name)
+    await anyio.sleep(18)
+    world.modes.clear()
+    world.cut_peers.clear()
+
+
+async def writes_come_late(world: World) -> None:
+    """Transactions get no answer and are carried out seconds later, after newer ones."""
+    await anyio.sleep(12)
+    world.late_writes = 0.15
+    await anyio.sleep(35)
+    world.late_writes = 0.0
+
+
+async def leader_refused_alone(world: World) -> None:
+    """The state service refuses the leader, and a second later everybody."""
+    await anyio.sleep(24)
+    name = leader(world)
+    world.modes[(name, "state")] = "refused"
+    await anyio.sleep(1)
+    world.state.set_down(True)
+    await anyio.sleep(12)
+    world.modes.clear()
+    world.state.set_down(False)
+
+
+TROUBLES: list[Trouble] = [
+    nothing, dies_before_its_turn, outage, all_killed, leaders_in_turn, cut, writes_come_late,
+    leader_refused_alone,
+]  # fmt: skip
+
+
+@dataclass
+class PlayedRoll:
+    """A day on which this version replaced an earlier one."""
+
+    world: World
+    raised_early: list[str] = field(default_factory=list)  # before whose turn the format was new
+
+
+def hand_in_large(world: World, first: int) -> None:
+    """Arrays whose records outgrow the lower limit, done in no order."""
+    for n in range(first, first + 2):
+        each = [world.random.choice([1.0, 45.0]) for _ in range(420)]
+        body = world.job(
+            name_id=f"run-large{n}", pieces=420, cpus=0.25, ram_gb=0.5, true_s=5.0, true_each=each,
+        )  # fmt: skip
+        world.group.start_soon(world.user, body["name_id"], body, None)
+
+
+def hand_in_services(world: World) -> None:
+    """Three services, the last of which is called off after a minute."""
+    for n in range(3):
+        body = world.job(
+            name_id=f"run-service{n}", shape="daemon", pieces=3, cpus=1.0, urgency="critical",
+            scatter=n == 1, borrowed=False, expected_s=0.0,
+        )  # fmt: skip
+        world.group.start_soon(world.user, body["name_id"], body, 60.0 if n == 2 else None)
+
+
+def lower_limits(world: World) -> None:
+    """The state service takes only what `state.next` of the settings names."""
+    world.state.lowered, world.state.rate = True, float(NEXT["write_rps"])
+
+
+def play_roll(
+    earlier: SimpleNamespace, trouble: Trouble, seed: int, *, lowered_after: float | None = None
+) -> PlayedRoll:
+    """Play a day that begins with the earlier version alone, and a trouble during the roll.
+
+    The limits of the state service fall once all controllers are of this version, or with
+    `lowered_after` so many seconds after the beginning.
+    """
+    world = World(seed)
+    world.old, world.old_names = earlier, set(world.names)
+    played = PlayedRoll(world)
+
+    async def fall() -> None:
+        assert lowered_after is not None
+        await anyio.sleep(lowered_after)
+        lower_limits(world)
+
+    async def roll() -> None:
+        await anyio.sleep(12)
+        for name in world.names:
+            await anyio.sleep(10)
+            if FORMAT in world.state.keys:
+                played.raised_early.append(name)
+            world.old_names.discard(name)
+            world.crash(name)
+            await anyio.sleep(world.random.choice([0.2, 3.0]))
+            world.start_node(name)
+
+    async def script() -> None:
+        await anyio.sleep(2)
+        for n in range(16):
+            body = world.random_job() | {"name_id": f"run-{n:06d}"}
+            body["true_s"] *= 3.0
+            world.group.start_soon(world.user, body["name_id"], body, 30.0 if n % 5 == 0 else None)
+        hand_in_large(world, 2)
+        async with anyio.create_task_group() as group:
+            group.start_soon(roll)
+            group.start_soon(trouble, world)
+            if lowered_after is not None:
+                group.start_soon(fall)
+                hand_in_services(world)
+        await anyio.sleep(world.random.uniform(5.0, 9.0))
+        assert world.state.keys[FORMAT][0] == {"version": FORMAT_NOW}
+        if lowered_after is None:
+            hand_in_services(world)
+            await anyio.sleep(world.random.uniform(0.0, 10.0))
+            lower_limits(world)
+        hand_in_large(world, 4)
+        world.calm_at = now()
+        await anyio.sleep(110)
+
+    run_script(world, 330.0, script)
+    return played
--- /dev/null
+++ b/tests/test_previous_main.py
@@ -0,0 +1,143 @@
+"""This version beside the main before it, which already writes records of format 3."""
+
+from __future__ import annotations
+
+import random
+from typing import Any
+
+import msgspec
+import pytest
+
+import production
+from dapplewick.core.machines import MachineBook
+from dapplewick.storage.records import (
+    FORMAT,
+    FORMAT_NOW,
+    MACHINES,
+    GroupRecord,
+    MachineRecord,
+    Mirror,
+    size_of,
+)
+from rolls import TROUBLES, Trouble, play_roll
+from standins import NEXT
+from test_meetings import finished
+
+VALUE_BYTES = 942  # what the lower limit leaves of 1 KiB
+TXN_OPS = 4
+
+
+@pytest.mark.parametrize("trouble", TROUBLES, ids=lambda f: f.__name__)
+def test_rolls_of_the_main_before_and_this_version(trouble: Trouble) -> None:
+    """The limits fall at a drawn moment of the roll; services run from before it."""
+    seed = TROUBLES.index(trouble) + 1
+    lowered_after = random.Random(seed).uniform(4.0, 60.0)
+    earlier = production.load_commit(production.PREVIOUS_MAIN)
+    world = play_roll(earlier, trouble, seed, lowered_after=lowered_after).world
+    assert world.broken == []
+    assert finished(world) == {"run-service0": "running", "run-service1": "running"}
+    assert world.told["run-service2"] == "withdrawn"
+    largest = max(size_of(value) for value, _, _ in world.state.keys.values())
+    assert largest <= float(NEXT["value_kb"]) * 1024
+
+
+def group(count: int) -> dict[str, Any]:
+    machines = {f"vm-{n:06d}": "u" if n % 3 else "b17" for n in range(count)}
+    return {"type": "c8", "zone": "a", "spot": False, "machines": machines}
+
+
+class Store:
+    """Machine groups as the state service has them, with a mirror that follows."""
+
+    def __init__(self, count: int) -> None:
+        self.mirror = Mirror()
+        self.revision = 0
+        self.keys: dict[str, tuple[Any, int]] = {}
+        self.write(FORMAT, {"version": FORMAT_NOW})
+        self.write(MACHINES + "r-1", group(count))
+        self.machines = dict(self.mirror.machines)
+
+    def write(self, key: str, value: Any) -> None:
+        self.revision += 1
+        if value is None:
+            del self.keys[key]
+            self.mirror.remove(key, self.revision)
+        else:
+            self.keys[key] = (value, self.revision)
+            self.mirror.put(key, value, self.revision)
+
+    def book(self) -> MachineBook:
+        return MachineBook(self.mirror, None, 14.0, 4.0, VALUE_BYTES, TXN_OPS)  # type: ignore[arg-type]
+
+    def read_anew(self, mirror: Any) -> Any:
+        mirror.reload(dict(sorted(self.keys.items())), self.revision)
+        return mirror
+
+
+def states(machines: dict[Any, Any]) -> dict[str, tuple[bool, bool]]:
+    return {str(name): (record.up, record.doomed) for name, record in machines.items()}
+
+
+@pytest.mark.parametrize("seed", range(4))
+@pytest.mark.parametrize("count", [60, 150, 1000])
+def test_a_group_of_any_size_is_split_in_small_writes_and_no_machine_is_lost(
+    count: int, seed: int
+) -> None:
+    """The leader may change after any write, the machines' states change meanwhile, and whoever
+    reads the records anew, of this version or of the main before, finds the same machines."""
+    pick = random.Random(seed)
+    store, earlier = Store(count), production.load_commit(production.PREVIOUS_MAIN).records
+    followed = store.read_anew(earlier.Mirror())
+    machines, book = dict(store.machines), store.book()
+    for _ in range(400):
+        if pick.random() < 0.2:
+            book = store.book()  # another leader
+        book.begin()
+        # One machine is to be deleted, if its record can be written by now.
+        name = pick.choice(sorted(machines))
+        book.doom(name, "test")
+        changes = book.changes()
+        if not changes:
+            break
+        tied = [c for c in changes if c.tied]
+        assert len(tied) <= TXN_OPS
+        for change in tied or changes[: pick.randint(1, len(changes))]:
+            assert change.value is None or size_of(change.value) <= VALUE_BYTES
+            store.write(change.key, change.value)
+            if change.value is None:
+                followed.remove(change.key, store.revision)
+            else:
+                followed.put(change.key, change.value, store.revision)
+            if change.value is not None and change.value["machines"].get(name) == "d":
+                machines[name] = msgspec.convert(change.value, type=GroupRecord).record(name)
+        for mirror in (
+            store.mirror, followed, store.read_anew(Mirror()), store.read_anew(earlier.Mirror())
+        ):  # fmt: skip
+            assert states(mirror.machines) == states(machines)
+        if all(size_of(v) <= VALUE_BYTES for k, (v, _) in store.keys.items() if k != FORMAT):
+            break
+    assert all(size_of(v) <= VALUE_BYTES for k, (v, _) in store.keys.items() if k != FORMAT)
+    listed = [m for g in store.mirror.groups.values() for m in g.machines]
+    assert len(listed) == len(set(listed)) == count
+
+
+def test_the_newer_of_two_groups_that_list_a_machine_counts_in_any_order() -> None:
+    old, new = group(3), group(3) | {"machines": {"vm-000000": "d"}}
+    for order in ([("r-9", old, 4), ("r-1", new, 5)], [("r-1", new, 5), ("r-9", old, 4)]):
+        mirror = Mirror()
+        for name, value, version in order:
+            mirror.put(MACHINES + name, value, version)
+        machine = next(iter(mirror.machines))
+        assert mirror.machines[machine].doomed and mirror.group_of[machine] == "r-1"
+        mirror.remove(MACHINES + "r-1", 6)
+        assert not mirror.machines[machine].doomed and mirror.group_of[machine] == "r-9"
+        mirror.remove(MACHINES + "r-9", 7)
+        assert mirror.machines == {} and mirror.group_of == {}
+
+
+def test_a_group_within_the_limit_is_left_alone() -> None:
+    book = Store(20).book()
+    book.begin()
+    assert book.changes() == []
+    record = GroupRecord("c8", "a", False, {"m": "u"}).record("m")
+    assert record == MachineRecord("c8", "a", False, 0.0, True, False)
--- a/tests/test_upgrade.py
+++ b/tests/test_upgrade.py
@@ -5,7 +5,7 @@
 import json
 import logging
 import random
-from collections.abc import Awaitable, Callable
+from collections.abc import Callable
 from pathlib import Path
 from typing import Any
 
@@ -32,6 +32,7 @@
 )
 from dapplewick.transport.http import Request
 from dapplewick.types import JobId
+from rolls import TROUBLES, Trouble, hand_in_large, nothing, play_roll
 from standins import NEXT, World, now, settings
 from test_days import (
     cut_from_state,
@@ -47,7 +48,6 @@
 from test_meetings import cancel, finished, leader
 
 DATA = Path(__file__).parent / "data" / "production.json"
-Trouble = Callable[[World], Awaitable[None]]
 
 
 def stored(world: World) -> dict[str, tuple[Any, int]]:
@@ -140,110 +140,15 @@
     assert mirror.format == FORMAT_NOW  # it never goes back
 
 
-async def nothing(world: World) -> None:
-    pass
-
-
-async def dies_before_its_turn(world: World) -> None:
-    await anyio.sleep(14)
-    world.crash("n2")
-    await anyio.sleep(2)
-    world.start_node("n2")  # still with the old version
-
-
-async def outage(world: World) -> None:
-    await anyio.sleep(20)
-    world.state.set_down(True)
-    await anyio.sleep(14)
-    world.state.set_down(False)
-
-
-async def all_killed(world: World) -> None:
-    await anyio.sleep(22)
-    for name in world.names:
-        world.crash(name)
-    await anyio.sleep(1)
-    for name in world.names:
-        world.start_node(name)
-
-
-async def leaders_in_turn(world: World) -> None:
-    """New, old and new lead one after the other."""
-    for _ in range(5):
-        await anyio.sleep(9)
-        name = leader(world)
-        world.crash(name)
-        await anyio.sleep(0.3)
-        world.start_node(name)
-
-
-async def cut(world: World) -> None:
-    await anyio.sleep(18)
-    name = leader(world)
-    world.modes[(name, "state")] = "cut"
-    world.cut_peers.add(name)
-    await anyio.sleep(18)
-    world.modes.clear()
-    world.cut_peers.clear()
-
-
-TROUBLES: list[Trouble] = [
-    nothing, dies_before_its_turn, outage, all_killed, leaders_in_turn, cut,
-]  # fmt: skip
-
-
 @pytest.mark.parametrize("seed", [1, 2])
 @pytest.mark.parametrize("trouble", TROUBLES, ids=lambda f: f.__name__)
 def test_rolls_of_production_and_this_version(
     trouble: Trouble, seed: int, caplog: pytest.LogCaptureFixture
 ) -> None:
     caplog.set_level(logging.INFO)
-    world = World(seed)
-    world.old, world.old_names = production.load(), set(world.names)
-    seen: list[int] = []
-    early: list[str] = []
-
-    async def services() -> None:
-        for n in range(3):
-            body = world.job(
-                name_id=f"run-service{n}", shape="daemon", pieces=3, cpus=1.0, urgency="critical",
-                scatter=n == 1, borrowed=False, expected_s=0.0,
-            )  # fmt: skip
-            world.group.start_soon(world.user, body["name_id"], body, 60.0 if n == 2 else None)
-
-    async def roll() -> None:
-        await anyio.sleep(12)
-        for name in world.names:
-            await anyio.sleep(10)
-            if FORMAT in world.state.keys:
-                early.append(name)
-            world.old_names.discard(name)
-            world.crash(name)
-            await anyio.sleep(world.random.choice([0.2, 3.0]))
-            world.start_node(name)
-
-    async def script() -> None:
-        await anyio.sleep(2)
-        for n in range(16):
-            body = world.random_job() | {"name_id": f"run-{n:06d}"}
-            body["true_s"] *= 3.0
-            world.group.start_soon(world.user, body["name_id"], body, 30.0 if n % 5 == 0 else None)
-        hand_in_large(world, 2)
-        async with anyio.create_task_group() as group:
-            group.start_soon(roll)
-            group.start_soon(trouble, world)
-        await anyio.sleep(world.random.uniform(5.0, 9.0))
-        assert world.state.keys[FORMAT][0] == {"version": FORMAT_NOW}
-        await services()
-        await anyio.sleep(world.random.uniform(0.0, 10.0))
-        world.state.lowered, world.state.rate = True, float(NEXT["write_rps"])
-        hand_in_large(world, 4)
-        world.calm_at = now()
-        await anyio.sleep(110)
-        seen.append(len(world.on_machines()))
-
-    run_script(world, 330.0, script)
-    assert early == [] and world.broken == []
+    played = play_roll(production.load(), trouble, seed)
+    world = played.world
+    assert played.raised_early == [] and world.broken == []
     services_left = {f"run-service{n}" for n in range(2)}
     assert finished(world).keys() == services_left
     assert set(finished(world).values()) == {"running"}
@@ -288,16 +193,6 @@
     assert not any(key.startswith(CHUNKS) for key in world.state.keys)  # nothing is left behind
 
 
-def hand_in_large(world: World, first: int) -> None:
-    """Arrays whose records outgrow the lower limit, done in no order."""
-    for n in range(first, first + 2):
-        each = [world.random.choice([1.0, 45.0]) for _ in range(420)]
-        body = world.job(
-            name_id=f"run-large{n}", pieces=420, cpus=0.25, ram_gb=0.5, true_s=5.0, true_each=each,
-        )  # fmt: skip
-        world.group.start_soon(world.user, body["name_id"], body, None)
-
-
 @pytest.mark.parametrize("seed", range(1, 5))
 def test_the_limits_may_fall_while_records_are_cut(seed: int) -> None:
     """At a drawn moment from when the format is raised: before, between and after the writes for
