Places of long gangs from before the upgrade move to shares of their own

Cause: a gang placed under format 2 kept all places in its own record. With a value of 2 KiB and more than about 75 tasks, a cancellation, which keeps the places, was refused until the gang had ended. The leader now writes such a place in shares once the format allows it. Ruled out: writing shares with the cancellation itself, which the leader may change at the same moment.

--- a/src/dapplewick/core/leader.py
+++ b/src/dapplewick/core/leader.py
@@ -68,6 +68,7 @@
 UNAIMED_WAIT_S = 90.0  # work without aims lets gangs with some go first for this long
 CONVERT_MOST = 2  # jobs whose records are cut into chunks at the same time
 CONVERT_WRITES = 6  # and writes for it in one pass
+MANY_PLACES = 8  # gangs with fewer tasks always fit into one value
 FLEET_S = 1.0  # renting and returning is thought about this often
 
 
@@ -326,6 +327,7 @@
         self._converting = set()
         if self.mirror.format < FORMAT_NOW:
             return []
+        self._convert_places()
         out: list[Change] = []
         for job_id, job in self.mirror.each_live():
             if job.chunk or job.spec.gang or not job.open or not self._may_outgrow(job_id, job):
@@ -347,6 +349,19 @@
                 break
         return out
 
+    def _convert_places(self) -> None:
+        """Places of long gangs that were written into the job's own record are moved to shares.
+
+        Guards against a cancellation that is refused for its size: it keeps the places, since
+        tasks may still be there, and once the limit has fallen it could not be written.
+        """
+        for job_id, job in self.mirror.each_live():
+            gang = job.gang
+            if gang is None or gang.shares or len(gang.places) < MANY_PLACES:
+                continue
+            if size_of(job.dump()) > self._value_bytes:
+                self._edit(job_id, 1)
+
     def _may_outgrow(self, job_id: JobId, job: JobRecord) -> bool:
         known = self._outgrows.get(job_id)
         if known is None:
--- a/tests/test_upgrade.py
+++ b/tests/test_upgrade.py
@@ -14,6 +14,8 @@
 
 import production
 from dapplewick import config
+from dapplewick.core.estimates import Estimates
+from dapplewick.core.leader import LeaderCore
 from dapplewick.core.machines import MachineBook
 from dapplewick.storage.ranges import unpack
 from dapplewick.storage.records import (
@@ -31,7 +33,7 @@
     size_of,
 )
 from dapplewick.transport.http import Request
-from dapplewick.types import JobId
+from dapplewick.types import JobId, Token
 from rolls import TROUBLES, Trouble, hand_in_large, nothing, play_roll
 from standins import NEXT, World, now, settings
 from test_days import (
@@ -301,6 +303,31 @@
         assert tasks <= unpack(value["grants"][zone])
 
 
+def test_the_place_of_a_long_gang_from_before_the_upgrade_is_moved_to_shares() -> None:
+    """Its record is larger than the lower limit allows: once that has fallen, a cancellation,
+    which keeps the places, was refused until the gang had ended."""
+    mirror = Mirror()
+    mirror.put(FORMAT, {"version": FORMAT_NOW}, 1)
+    job = JobRecord(spec(60, 1.0, 10.0, gang=True), 0.0)
+    places = [("a", f"vm-{n:06d}") for n in range(60)]
+    job.gang = GangPlace(77, places)
+    mirror.put(JOBS + "run-1", job.dump(), 2)
+    room = int(float(NEXT["value_kb"]) * 1024)
+    assert size_of(job.dump()) > room
+    leader = LeaderCore(mirror, settings("n0"), Estimates(), Token(1), 0.0)
+    changes = leader.plan(1.0, 1.0)
+    assert changes[-1].key == JOBS + "run-1" and len(changes) > 2
+    for version, change in enumerate(changes, start=3):
+        assert size_of(change.value) <= room
+        mirror.put(change.key, change.value, version)
+    read = mirror.jobs[JobId("run-1")]
+    assert read.gang is not None and read.gang.places == places and read.gang.attempt == 77
+    cancelled = read.copy()
+    cancelled.stage = "cancelled"
+    assert size_of(cancelled.dump(room)) <= room
+    assert leader.plan(2.0, 2.0) == []
+
+
 def test_a_long_gangs_place_is_read_from_its_shares_whatever_order_they_come_in() -> None:
     mirror = Mirror()
     job = JobRecord(spec(5, 1.0, 10.0, gang=True), 0.0)
