A hung machine's replicas come back sooner; a process that stood still deletes none

Cause: a machine with replicas was deleted after half a lease of silence, 7 to 8 s of about 15 until they run again. Two missed reports tell as much: 2.2 times the time between reports now, unless no other machine of its part is heard either, since then the owner may have lost the way to all of them and the part is given to another first. An owner that stood still for 2 s counts silence anew: its reports are not read yet. The leader does not rest when a deletion was answered, and what it frees joins at once. Ruled out: one missed report (a lost packet sends the worker to the next controller, 5 to 6 s).

--- a/src/dapplewick/core/leader.py
+++ b/src/dapplewick/core/leader.py
@@ -17,7 +17,7 @@
 from dapplewick.core.demand import AcceleratorDemand, GangDemand
 from dapplewick.core.estimates import Estimates
 from dapplewick.core.fleet import Fleet, Need, wanted_slots
-from dapplewick.core.machines import Change, MachineBook
+from dapplewick.core.machines import Change, MachineBook, Silence
 from dapplewick.core.model import GANG_RANK, PartRooms, View, shape_of, view_of
 from dapplewick.core.placing import LONG_HOLD_S, place_gang
 from dapplewick.protocol.wire import JobSpec, MachineList, MachineType, types_value
@@ -151,7 +151,7 @@
         self._names = {settings.host_name, *(p.host_name for p in settings.peers)}
         self.book = MachineBook(
             mirror, self.fleet, self.settings.workers.lease_s, self.settings.cloud.list_lag_s,
-            limits.value_bytes, limits.txn_ops,
+            limits.value_bytes, limits.txn_ops, self.settings.workers.report_s,
         )  # fmt: skip
         self._converting: set[JobId] = set()
         self._outgrows: dict[JobId, bool] = {}
@@ -857,12 +857,14 @@
     def _review_machines(self, now: Seconds, wall: Seconds) -> None:
         """Machines that came up, turned out unknown, or have to go."""
         heard: dict[MachineId, dict[str, Any]] = {}
-        silent: dict[str, Any] = {}
+        silent: dict[MachineId, Silence] = {}
         for part in self._owned():
             heard.update(part.machines)
+            others_heard = part.fresh["heard_ago"] < self.settings.workers.report_s
             # What a part has not heard for long is told in full each time; a status that is
             # itself old says less than its age.
-            silent.update(part.fresh["silent"])
+            for machine_id, (seconds, urgent) in part.fresh["silent"].items():
+                silent[machine_id] = Silence(seconds, urgent, others_heard)
         self.book.review(now, wall, heard, silent, self.settings.zones)
 
     def _fleet_changes(
--- a/src/dapplewick/core/machines.py
+++ b/src/dapplewick/core/machines.py
@@ -30,6 +30,7 @@
 GROUP_MOST = 150  # machines in a record, where a value may hold as many
 GROUP_BYTES = 200  # of a record, beside its machines
 STATE_BYTES = 18  # of each machine, beside its name
+SILENT_REPORTS = 2.2  # reports, at most a quarter late each, that a hanging machine has missed
 
 
 class Change(NamedTuple):
@@ -43,6 +44,14 @@
     tied: str = ""  # changes in a row with the same text go into one transaction
 
 
+class Silence(NamedTuple):
+    """For how long a machine has not been heard, and what that means for its part."""
+
+    seconds: Seconds
+    urgent: bool  # replicas or cancelled tasks on it wait for the proof that it is gone
+    others_heard: bool  # other machines of its part are heard: the silence is its own
+
+
 class MachineBook:
     """Drafts of the records of machines, which are kept in a group for each rental."""
 
@@ -54,7 +63,9 @@
         lag_s: Seconds,
         value_bytes: int = 16 * 1024,
         txn_ops: int = 16,
+        report_s: Seconds = 2.5,
     ) -> None:
+        self._report_s = report_s
         self._value_bytes = value_bytes
         self._txn_ops = txn_ops
         self.mirror = mirror
@@ -237,8 +248,8 @@
     # The pass
 
     def review(
-        self, now: Seconds, wall: Seconds, heard: dict[MachineId, Any], silent: dict[str, Any],
-        zones: list[str],
+        self, now: Seconds, wall: Seconds, heard: dict[MachineId, Any],
+        silent: dict[MachineId, Silence], zones: list[str],
     ) -> None:  # fmt: skip
         """Look at every machine: `heard` is what the parts say of each, `silent` names those
         they have not heard for a while."""
@@ -268,20 +279,30 @@
             if now - since > patience and item.zone in zones:
                 self.adopt(machine_id, item.type, item.zone, item.spot, wall, LATER)
 
+    def _urgent_silence(self, others_heard: bool) -> Seconds:
+        """After which silence a machine is deleted so that its replicas can run elsewhere.
+
+        Two reports are missed by then. Where no other machine of the part is heard either, its
+        owner may have lost the way to all of them: half a lease is waited, which leaves time to
+        give the part to another owner.
+        """
+        half = self.lease_s / 2
+        return min(half, SILENT_REPORTS * self._report_s) if others_heard else half
+
     def _why_go(
-        self, now: Seconds, machine_id: MachineId, record: MachineRecord, body: Any, silent: Any
-    ) -> str:
+        self, now: Seconds, machine_id: MachineId, record: MachineRecord, body: Any,
+        silence: Silence | None,
+    ) -> str:  # fmt: skip
         if not record.up:
             since = self._up_since.setdefault(machine_id, now)
             return "never up" if now - since > self.fleet.boot_limit(record.type) else ""
         listed = self.listed.get(machine_id)
         if listed is not None and listed.state == "failed":
             return "failed"
-        if silent is not None:
-            quiet, wanted_gone = silent
-            if quiet > self.lease_s + 1.0:
+        if silence is not None:
+            if silence.seconds > self.lease_s + 1.0:
                 return "silent"
-            if wanted_gone and quiet > self.lease_s / 2:
+            if silence.urgent and silence.seconds > self._urgent_silence(silence.others_heard):
                 # A hanging machine may hold a cancelled task until its deletion, and replicas of
                 # services start elsewhere only after it.
                 return "silent with cancelled tasks or replicas"
--- a/src/dapplewick/core/part.py
+++ b/src/dapplewick/core/part.py
@@ -75,6 +75,7 @@
 MATE_COST, SPOT_COST, GPU_COST = 30.0, 20.0, 5.0  # seconds a better place for a replica is worth
 DRAIN_S = 75.0  # after this time with nothing but replicas a dear machine is emptied
 DRAIN_PRICE = 2.0  # dear: more than this times the cheapest that they fit
+STALL_S = 2.0  # a process that ticks later than this may have reports it has not read
 SLOW_TICK_S = 1.0  # what looks at all machines, holds and waiting singles is done this often
 
 
@@ -102,7 +103,10 @@
         self.threshold = (tuning or Tuning()).threshold_s
         self._lease_s = lease_s
         self._report_s = report_s
-        self.refused = now  # when reports were last refused here, or this ownership began
+        # Since when silence counts: reports were refused before, or could not be read, or this
+        # ownership had not begun.
+        self.listening_since = now
+        self._ticked_at = now
         self.random = random.Random(seed ^ token)
         self.machines: dict[MachineId, Machine] = {}
         self.singles: dict[JobId, dict[int, Single]] = {}
@@ -238,10 +242,16 @@
                 log.info("event=gang_broken job=%s reason=machine_gone", job_id)
         self._settle_unsure(now)
         self.dirty = True
+        if any(self._is_replica(task) for task in self.queues.loose):
+            self._join_all(now)  # not only with the next tick: users wait for them
+
+    def _is_replica(self, task: TaskRef) -> bool:
+        spec = self._spec(task)
+        return spec is not None and spec.daemon
 
     def refuse(self, now: Seconds) -> None:
         """Reports are refused now: that machines are not heard says nothing of them."""
-        self.refused = now
+        self.listening_since = now
 
     def report(self, now: Seconds, report: Report, may_launch: bool) -> list[Order]:
         """Handle a worker's report; gives the orders for its machine."""
@@ -253,7 +263,7 @@
         if (report.session, report.seq) <= machine.newest:
             return []
         new_session = report.session > machine.newest[0]
-        if new_session and machine.heard and machine.settled > self.refused:
+        if new_session and machine.heard and machine.settled > self.listening_since:
             # A lease that ended while we answered its reports: the answers don't reach it. It
             # asks all controllers in turn, so its reports here may also be a lease apart; then
             # the second end soon after the first tells.
@@ -330,6 +340,11 @@
 
     def tick(self, now: Seconds, wall: Seconds = 0.0, followed: bool = True) -> None:
         """Time has passed. `followed`: the records are being followed, so the leader may be."""
+        if now - self._ticked_at > STALL_S:
+            # This process stood still, and the reports that came meanwhile are not read yet.
+            # Without this, all machines with replicas were deleted as silent when it went on.
+            self.listening_since = now
+        self._ticked_at = now
         if self.later:
             ready = [t for t in self.later if self._not_before(t) <= now]
             if ready:
--- a/src/dapplewick/core/part_status.py
+++ b/src/dapplewick/core/part_status.py
@@ -75,9 +75,9 @@
         if record is None:
             continue
         # What never learns our token hears nothing of what we say, however often it reports.
-        # While reports are refused here, as in a long outage, no machine is silent for that: all
+        # While reports are not heard here, as in a long outage, no machine is silent for that: all
         # of them were deleted when the state service was back.
-        quiet = now - max(m.settled, core.refused)
+        quiet = now - max(m.settled, core.listening_since)
         if quiet > QUIET_S:
             # Replicas can start elsewhere only once it is gone: it is waited for less.
             hasty = core.cancelled_there(m) or core.replicas_there(m)
--- a/src/dapplewick/node.py
+++ b/src/dapplewick/node.py
@@ -590,7 +590,9 @@
             status, _ = await self._cloud_call("POST", "/hosts/delete", wire.delete_body(machines))
             if status == 200:
                 leader.machines_deleted(machines)
+                # What was on them can start elsewhere once the records say that they are gone.
                 self._leader_wake.set()
+                self._hurry.set()
             else:
                 log.info("event=delete_failed count=%d status=%d", len(machines), status)
                 await anyio.sleep(1.0)
--- a/tests/test_services.py
+++ b/tests/test_services.py
@@ -11,6 +11,8 @@
 import pytest
 from msgspec.structs import replace
 
+from dapplewick.core.fleet import Fleet
+from dapplewick.core.machines import MachineBook, Silence
 from dapplewick.core.part import PartCore
 from dapplewick.protocol.wire import JobSpec, Order, Report, TaskReport
 from dapplewick.storage.records import MACHINES, JobRecord
@@ -364,3 +366,55 @@
     patch(monkeypatch)
     with pytest.raises((AssertionError, BaseExceptionGroup)):
         test()
+
+
+# How soon a silent machine's replicas may run elsewhere
+
+
+def test_a_process_that_stood_still_takes_no_machine_for_silent() -> None:
+    """Its reports are still unread: all machines with replicas were deleted when it went on."""
+    bench = Bench(2)
+    for name in bench.names:
+        bench.report(name, 0.0)
+    bench.grant("run-s", service(2), 0.0)
+    bench.core.tick(0.5)
+    for name in bench.names:
+        bench.report(name, 0.5)
+    assert all(bench.on[name] for name in bench.names)
+    at = 0.5
+    while at < 6.0:
+        at += 0.25
+        bench.core.tick(at)
+    heard_nothing = bench.core.status(at)["silent"]
+    assert {seconds for seconds, _ in heard_nothing.values()} == {5.5}
+    assert all(urgent for _, urgent in heard_nothing.values())
+    bench.core.tick(at + 5.0)
+    assert bench.core.status(at + 5.0)["silent"] == {}
+    while at < 13.0:
+        at += 0.25
+        bench.core.tick(at + 5.0)
+    assert bench.core.status(at + 5.0)["silent"].keys() == set(bench.names)
+
+
+@pytest.mark.parametrize(
+    ("silence", "goes"),
+    [
+        (Silence(5.4, True, True), False),
+        (Silence(5.6, True, True), True),
+        (Silence(5.6, False, True), False),
+        (Silence(6.9, True, False), False),  # its owner may have lost the way to all of them
+        (Silence(7.1, True, False), True),
+        (Silence(14.9, False, True), False),
+        (Silence(15.1, False, False), True),
+    ],
+)
+def test_a_silent_machine_goes_sooner_where_replicas_wait_for_it(
+    silence: Silence, goes: bool
+) -> None:
+    bench = Bench(1)
+    name = bench.names[0]
+    book = MachineBook(bench.mirror, Fleet(bench.mirror, ["a"], 1), 14.0, 4.0, report_s=2.5)
+    book.begin()
+    book.review(100.0, 100.0, {}, {name: silence}, ["a"])
+    states = [v["machines"][name] for c in book.changes() if (v := c.value) is not None]
+    assert states == (["d"] if goes else [])
