A silence that one lost answer explains deletes no machine; the stand-in's redirects are at once

Cause: 2.2 reports (4.4 s for the stand-ins, 5.5 s on the sites) are shorter than the 4 s for which a worker waits for an answer, the second until it asks the next controller and the way back. The bound is 6.2 s now, or half a lease if that is less. The stand-in's worker waited a whole period after a redirect, where the protocol says at once or within half a second; it now does as the protocol says. Also: sizes and shapes of jobs are computed once, and a machine's singles counted once a status.

--- a/src/dapplewick/core/fleet.py
+++ b/src/dapplewick/core/fleet.py
@@ -7,7 +7,7 @@
 import random
 from typing import NamedTuple
 
-from dapplewick.core.model import PartRooms, View, shape_of, take_times
+from dapplewick.core.model import PartRooms, View, take_times
 from dapplewick.protocol.wire import JobSpec, MachineType
 from dapplewick.storage.records import BookingRecord, Mirror
 from dapplewick.tuning import Tuning
@@ -130,7 +130,7 @@
         for need in needs:
             spec = need.spec
             if need.together and spec.one_zone:
-                shape = shape_of(spec)
+                shape = spec.shape
                 zones = sorted(self.zones, key=lambda z: -pool[Zone(z)].idle(spec, shape))
                 for zone in zones:
                     if self._provide(now, spec, need.tasks, need.tasks, [zone], pool, asked):
--- a/src/dapplewick/core/leader.py
+++ b/src/dapplewick/core/leader.py
@@ -18,7 +18,7 @@
 from dapplewick.core.estimates import Estimates
 from dapplewick.core.fleet import Fleet, Need, wanted_slots
 from dapplewick.core.machines import Change, MachineBook, Silence
-from dapplewick.core.model import GANG_RANK, PartRooms, View, shape_of, view_of
+from dapplewick.core.model import GANG_RANK, PartRooms, View, view_of
 from dapplewick.core.placing import LONG_HOLD_S, place_gang
 from dapplewick.protocol.wire import JobSpec, MachineList, MachineType, types_value
 from dapplewick.storage.records import (
@@ -506,10 +506,7 @@
                 count += job.spec.tasks
             used = usage.get(job.spec.team)
             if used is not None and count:
-                size = job.spec.size
-                usage[job.spec.team] = used.plus(
-                    Size(size.cpus * count, size.gpus * count, size.ram * count)
-                )
+                usage[job.spec.team] = used.plus(job.size.times(count))
         return usage
 
     def _within_limit(self, spec: JobSpec, usage: dict[str, Size]) -> int:
@@ -527,10 +524,7 @@
         return max(0, most)
 
     def _spend(self, spec: JobSpec, count: int, usage: dict[str, Size]) -> None:
-        size = spec.size
-        usage[spec.team] = usage[spec.team].plus(
-            Size(size.cpus * count, size.gpus * count, size.ram * count)
-        )
+        usage[spec.team] = usage[spec.team].plus(spec.size.times(count))
 
     def _rooms(self, now: Seconds) -> list[PartRooms]:
         """The parts' rooms, less what was given to them that their statuses don't show."""
@@ -613,7 +607,7 @@
                 coming[view.zone].add(view)
         out = []
         for job_id, job in gangs:
-            spec, shape = job.spec, shape_of(job.spec)
+            spec, shape = job.spec, job.spec.shape
             parts = sorted(coming.values(), key=lambda p: -p.idle(spec, shape))
             if not spec.one_zone and sum(p.idle(spec, shape) for p in parts) >= spec.tasks:
                 left = spec.tasks
@@ -753,7 +747,7 @@
                 if left <= 0:
                     continue
                 spec = job.spec
-                kind = (shape_of(spec), spec.image if warm else "")
+                kind = (spec.shape, spec.image if warm else "")
                 if kind in full:
                     continue
                 job = self._job(job_id)
@@ -799,7 +793,7 @@
         room = {}
         for part in rooms:
             said = self.parts[part.zone].jobs
-            running = sum(end.rank < GANG_RANK for v in part.views for end in v.ends)
+            running = sum(view.singles for view in part.views)
             waiting = 0
             for job_id in self.mirror.live_jobs:
                 job = self._job(job_id)
@@ -819,7 +813,7 @@
         count: int,
         warm: bool,
     ) -> dict[Zone, int]:
-        shape = shape_of(spec)
+        shape = spec.shape
         parts = [p for p in rooms if any(v.allows(spec) for v in p.views)]
         if spec.one_zone:
             holders = [z for z, tasks in job.grants.items() if tasks]
@@ -938,7 +932,7 @@
             if job.gang is None or self._long_held(job_id, job.gang):
                 spec = job.spec
                 # Gangs that may span all parts need the same as one gang of all their tasks.
-                key = None if spec.one_zone or spec.spread else shape_of(spec)
+                key = None if spec.one_zone or spec.spread else spec.shape
                 if key is not None and key in alike:
                     old = needs[alike[key]]
                     needs[alike[key]] = old._replace(tasks=old.tasks + spec.tasks)
--- a/src/dapplewick/core/machines.py
+++ b/src/dapplewick/core/machines.py
@@ -31,6 +31,9 @@
 GROUP_BYTES = 200  # of a record, beside its machines
 STATE_BYTES = 18  # of each machine, beside its name
 SILENT_REPORTS = 2.2  # reports, at most a quarter late each, that a hanging machine has missed
+# A worker whose report got no answer waits 4 s for it, 1 s more, and is sent back to the owner by
+# the next controller: a machine that is silent for less may only have lost one answer.
+LOST_ANSWER_S = 6.2
 
 
 class Change(NamedTuple):
@@ -282,12 +285,14 @@
     def _urgent_silence(self, others_heard: bool) -> Seconds:
         """After which silence a machine is deleted so that its replicas can run elsewhere.
 
-        Two reports are missed by then. Where no other machine of the part is heard either, its
-        owner may have lost the way to all of them: half a lease is waited, which leaves time to
-        give the part to another owner.
+        Two reports are missed by then, and one lost answer does not explain it. Where no other
+        machine of the part is heard either, its owner may have lost the way to all of them: half
+        a lease is waited, which leaves time to give the part to another owner.
         """
         half = self.lease_s / 2
-        return min(half, SILENT_REPORTS * self._report_s) if others_heard else half
+        if not others_heard:
+            return half
+        return min(half, max(LOST_ANSWER_S, SILENT_REPORTS * self._report_s))
 
     def _why_go(
         self, now: Seconds, machine_id: MachineId, record: MachineRecord, body: Any,
--- a/src/dapplewick/core/part.py
+++ b/src/dapplewick/core/part.py
@@ -16,7 +16,6 @@
 
 from dapplewick.core.demand import AcceleratorDemand, GangDemand
 from dapplewick.core.estimates import NEVER, Estimates
-from dapplewick.core.model import shape_of
 from dapplewick.core.part_state import (
     ASSIGNED,
     FINISHED,
@@ -775,7 +774,7 @@
                 loose.append(task)
                 continue
             # Where one task finds no queue, the next that is alike finds none either.
-            shape = shape_of(spec)
+            shape = spec.shape
             if shape in stuck:
                 loose.append(task)
                 continue
--- a/src/dapplewick/core/placing.py
+++ b/src/dapplewick/core/placing.py
@@ -11,7 +11,6 @@
     fit_all,
     fit_behind,
     fit_held,
-    shape_of,
 )
 from dapplewick.protocol.wire import JobSpec
 from dapplewick.types import Seconds
@@ -28,7 +27,7 @@
     Counts come first, and they are kept for gangs that are alike; machines are chosen only
     once it is known that there are enough.
     """
-    parts, count, shape = list(parts), spec.tasks, shape_of(spec)
+    parts, count, shape = list(parts), spec.tasks, spec.shape
     one_part = spec.zone_cap >= count
     if one_part:
         best: tuple[float, list[View]] | None = None
@@ -61,7 +60,7 @@
     spec: JobSpec, parts: list[PartRooms], limit: Seconds, patience: Seconds
 ) -> tuple[list[View], bool] | None:
     # Slots behind long work are no place to wait: those that are idle already would stay so.
-    shape = shape_of(spec)
+    shape = spec.shape
     best: tuple[float, list[View], bool] | None = None
     for part in parts:
         if not part.preemptable(spec.rank):
--- a/src/dapplewick/protocol/wire.py
+++ b/src/dapplewick/protocol/wire.py
@@ -4,7 +4,7 @@
 
 import math
 import re
-from functools import lru_cache
+from functools import cached_property, lru_cache
 from typing import Any, NamedTuple
 
 import msgspec
@@ -33,8 +33,11 @@
     """A body that breaks the protocol; the text is a short reason."""
 
 
-class JobSpec(msgspec.Struct, frozen=True, omit_defaults=True):
-    """What a user asks for."""
+Shape = tuple[Any, ...]
+
+
+class JobSpec(msgspec.Struct, frozen=True, omit_defaults=True, dict=True):
+    """What a user asks for. What is computed of it is computed once (`dict`)."""
 
     bundle: str
     team: str
@@ -57,10 +60,18 @@
     deadline: float | None = None
     daemon: bool = False  # a service: its tasks are replicas, and run until it is cancelled
 
-    @property
+    @cached_property
     def size(self) -> Size:
         return Size(self.cpus, self.gpus, self.ram)
 
+    @cached_property
+    def shape(self) -> Shape:
+        """What decides where a task fits: of jobs that are alike in it one is looked at."""
+        return (
+            self.size, tuple(self.types or ()), self.spot, self.zone, self.rank, self.gang,
+            self.daemon,
+        )  # fmt: skip
+
     @property
     def zone_cap(self) -> int:
         """How many tasks may be in one zone."""
--- a/tests/standins.py
+++ b/tests/standins.py
@@ -444,6 +444,7 @@
         self.images: set[str] = set()
         self.renewed = now()
         self.changed = True
+        self.sent_elsewhere = False  # the last report got no answer, or one that names another
         self.hanging = False
         self.cut = False
         self.deaf = False  # its reports arrive, no answer reaches it
@@ -455,6 +456,8 @@
         target, last = self.world.random.choice(sorted(self.world.names)), -1e9
         while not self.gone:
             due = last + WORKERS["report_s"] * (0.75 + 0.5 * self.world.random.random())
+            if self.sent_elsewhere:
+                due = now()  # the protocol: at once, or after the pause that was already made
             while not self.gone and now() < due and not (self.changed and now() > last + 0.5):
                 await anyio.sleep(0.1)
             while self.hanging and not self.gone:
@@ -482,6 +485,7 @@
         answer: Answer | None = None
         with anyio.move_on_after(4.0):
             answer = await self.world.to_node(target, Request("POST", "/checkin", raw, False), self)
+        self.sent_elsewhere = answer is None or answer.status != 200
         names = sorted(self.world.names)
         following = names[(names.index(target) + 1) % len(names)]
         if answer is None or answer.status not in (200, 421):
