--- /dev/null
+++ b/tests/day_checks.py
@@ -0,0 +1,97 @@
+"""Checks of a whole day of the stand-ins: by plain counting, at its end or beside the users."""
+
+from __future__ import annotations
+
+import json
+from collections import defaultdict
+from typing import Any
+
+from dapplewick.transport.http import Request
+from standins import World
+
+BEGIN_WITHIN_S = 240.0  # the largest jobs of a class have begun by then
+# A start that was on its way when the cancellation was confirmed: an owner that can't read the
+# records sends none after 9 s, and the image takes the rest.
+START_IN_FLIGHT_S = 12.0
+ORDER = {"unknown": 0, "queued": 1, "running": 1, "done": 2, "withdrawn": 2}
+
+
+def started_tasks(world: World, job_id: str) -> int:
+    pieces = world.jobs[job_id]["pieces"]
+    return sum(f"{job_id}/{n}" in world.first_start for n in range(pieces))
+
+
+def groups_of_jobs(world: World) -> dict[tuple[str, str], list[str]]:
+    """Accepted jobs that nobody cancelled, by class, by team, and the largest of each class."""
+    groups: dict[tuple[str, str], list[str]] = defaultdict(list)
+    wanted = [j for j in sorted(world.accepted) if j not in world.cancelled_at]
+    for job_id in wanted:
+        job = world.jobs[job_id]
+        groups[("class", job["bundle"])].append(job_id)
+        groups[("team", job["crew"])].append(job_id)
+    for (kind, name), members in list(groups.items()):
+        if kind == "class":
+            most = max(world.jobs[j]["pieces"] for j in members)
+            groups[("largest", name)] = [j for j in members if world.jobs[j]["pieces"] == most]
+    return groups
+
+
+def end_of_day(world: World) -> list[str]:
+    """What makes a day fail beside the rules that are checked as things happen."""
+    broken = []
+    if not world.starts:
+        broken.append("nothing_ran")
+    for (kind, name), jobs in groups_of_jobs(world).items():
+        served = sum(started_tasks(world, j) == world.jobs[j]["pieces"] for j in jobs)
+        if 2 * served < len(jobs):
+            broken.append(f"served {kind} {name}")
+        if kind == "largest":
+            for job_id in jobs:
+                begun = world.first_start.get(f"{job_id}/0")
+                if begun is None or begun - world.accepted_at[job_id] > BEGIN_WITHIN_S:
+                    broken.append(f"late {job_id}")
+    for name, late in world.started_after_cancel.items():
+        if late > START_IN_FLIGHT_S:
+            broken.append(f"started_after_cancel {name} {late:.1f}")
+    return broken
+
+
+def ask(body: bytes | None, job_id: str, verb: str = "") -> Request:
+    path = "/v2/runs" + (f"/{job_id}" if body is None else "") + (f"/{verb}" if verb else "")
+    method = "GET" if body is None and not verb else "POST"
+    return Request(method, path, body or b"", False)
+
+
+class Onlooker:
+    """Asks every controller about a job, and keeps that no answer is older than an earlier one."""
+
+    def __init__(self, world: World) -> None:
+        self.world = world
+        self.known: dict[str, int] = {}
+        self.broken: list[str] = []
+        self.answers = 0
+
+    async def request(self, name: str, request: Request, job_id: str) -> tuple[int, Any]:
+        node = self.world.nodes.get(name)
+        if node is None or not node.ready:
+            return 0, {}
+        before = self.known.get(job_id, 0)  # what was told when the question was put
+        answer = await node.handle(request)
+        said = json.loads(answer.body)
+        if answer.status == 503 and not answer.retry_after:
+            self.broken.append(f"no Retry-After {job_id}")
+        if answer.status in (200, 201, 404):
+            stage = "unknown" if answer.status == 404 else said["stage"]
+            self.note(job_id, before, stage)
+        return answer.status, said
+
+    def note(self, job_id: str, before: int, stage: str) -> None:
+        """An answer whose question was put when `before` was known."""
+        self.answers += 1
+        if ORDER[stage] < before:
+            self.broken.append(f"older_answer {job_id} {stage}")
+        self.known[job_id] = max(self.known.get(job_id, 0), ORDER[stage])
+
+    async def look(self, job_id: str) -> None:
+        for name in list(self.world.names):
+            await self.request(name, ask(None, job_id), job_id)
--- a/tests/standins.py
+++ b/tests/standins.py
@@ -361,6 +361,11 @@
             self.world.group.start_soon(late)
             await anyio.sleep(within)
             raise self.errors.HttpError("timeout")
+        if state and target == "/multi" and random_.random() < self.world.lost_answers:
+            # Carried out at once, and only its answer is lost.
+            await self.service.answer(method, target, body)
+            await anyio.sleep(within)
+            raise self.errors.HttpError("timeout")
         if state and target == "/multi" and self.world.put_off(self.node, body):
             # No answer, and carried out after newer ones of the same controller.
             async def put_off() -> None:
@@ -451,7 +456,7 @@
         self.gone = False
 
     async def run(self) -> None:
-        await anyio.sleep(2.0 + self.world.random.random() * 8.0)
+        await anyio.sleep(self.world.random.uniform(*self.world.boot_s))
         self.renewed = now()
         target, last = self.world.random.choice(sorted(self.world.names)), -1e9
         while not self.gone:
@@ -626,6 +631,11 @@
         self.cut_peers: set[str] = set()
         self.cut_workers: set[str] = set()
         self.slow = 1.0  # how many times as long the state service takes to answer
+        self.lost_answers = 0.0  # the share of transactions of which only the answer is lost
+        self.boot_s = (2.0, 10.0)  # the least and the most that a machine takes to come up
+        self.kept: list[Request] | None = None  # copies of reports, while they are kept
+        self.accepted_at: dict[str, float] = {}
+        self.first_start: dict[str, float] = {}  # of each task
         self.late_writes = 0.0  # the share of transactions without an answer, carried out late
         self.lose: Any = None  # or which: called with a controller's name and the transaction
         self.writes: list[tuple[float, str, dict[str, Any]]] = []  # what was sent, and by whom
@@ -687,6 +697,8 @@
             return None
         if worker is not None and self.random.random() < self.copies:
             self.group.start_soon(self._late_copy, request)
+        if worker is not None and self.kept is not None:
+            self.kept.append(request)
         answer = await node.handle(request)
         await self.thawed(name)
         if worker is not None and worker.deaf:
@@ -722,6 +734,13 @@
             self.copied += 1
             await node.handle(request)
 
+    async def deliver(self, copies: list[Request]) -> None:
+        """Each controller gets copies of reports that were kept."""
+        for request in copies:
+            for node in list(self.nodes.values()):
+                self.copied += 1
+                await node.handle(request)
+
     # Controllers
 
     def start_node(self, name: str) -> None:
@@ -808,6 +827,7 @@
 
     def check_start(self, worker: Worker, name: str) -> None:
         self.starts += 1
+        self.first_start.setdefault(name, now())
         self.starts_of[name] = self.starts_of.get(name, 0) + 1
         job_id = name.rpartition("/")[0]
         job = self.jobs[job_id]
@@ -957,7 +977,7 @@
         else:
             return
         self.accepted.add(job_id)
-        begun = now()
+        begun = self.accepted_at.setdefault(job_id, now())
         asked = False
         while True:
             if cancel_after is not None and now() - begun > cancel_after:
--- /dev/null
+++ b/tests/test_compound_failures.py
@@ -0,0 +1,424 @@
+"""Failures that meet: each is brought about here, and its guard taken out is noticed.
+
+`docs/meetings.md` has a row for each, with what guards against it.
+"""
+
+from __future__ import annotations
+
+import json
+import logging
+from collections.abc import Callable
+from pathlib import Path
+from typing import Any
+
+import anyio
+import pytest
+
+import dapplewick
+from dapplewick.core.part import PartCore
+from dapplewick.transport.http import HttpClient
+from day_checks import Onlooker, ask, end_of_day
+from standins import NEXT, World, now
+from test_checks_can_fail import (
+    no_check_that_the_mirror_is_current,
+    no_stop_of_cancelled_tasks,
+    no_wait_for_unheard_machines,
+)
+from test_days import hand_in, owners, run_script
+from test_meetings import cancel, day, finished, leader
+
+Patch = Callable[[pytest.MonkeyPatch], None]
+
+
+def submission(world: World, name: str, **fields: Any) -> bytes:
+    world.jobs[name] = world.job(name_id=name, **fields)
+    return json.dumps({k: v for k, v in world.jobs[name].items() if k != "true_s"}).encode()
+
+
+# Only the answers of transactions are lost, and users ask everywhere at once
+
+
+async def close_looks(world: World, lost_answers: float) -> Onlooker:
+    """Jobs are accepted, ended and cancelled; right after each answer all controllers are asked,
+    and submissions and cancellations are repeated at others."""
+    onlooker = Onlooker(world)
+    await anyio.sleep(4)
+    world.lost_answers = lost_answers
+
+    async def user(number: int) -> None:
+        job_id = f"run-{number:06d}"
+        body = submission(world, job_id, pieces=1, cpus=1.0, true_s=3.0)
+        status = 0
+        while status not in (200, 201):
+            name = world.random.choice(world.names)
+            status, _ = await onlooker.request(name, ask(body, job_id), job_id)
+            await onlooker.look(job_id)
+            await anyio.sleep(0.3)
+        world.accepted.add(job_id)
+        world.accepted_at[job_id] = now()
+        for n in range(60):
+            await anyio.sleep(0.7)
+            await onlooker.look(job_id)
+            name = world.random.choice(world.names)
+            if n == 2 and number % 3 == 0:
+                status, said = await onlooker.request(name, ask(None, job_id, "abort"), job_id)
+                if status == 200:
+                    world.cancelled_at[job_id] = now()
+                    world.told[job_id] = said["stage"]
+                await onlooker.look(job_id)
+            if n % 9 == 4:
+                status, _ = await onlooker.request(name, ask(body, job_id), job_id)
+                assert status in (0, 200, 503)
+
+    async with anyio.create_task_group() as group:
+        for number in range(18):
+            group.start_soon(user, number)
+            await anyio.sleep(1.5)
+        group.start_soon(restarts, world)
+    return onlooker
+
+
+async def restarts(world: World) -> None:
+    """The leader, then an owner end and are back within a second: they have just started."""
+    for _ in range(3):
+        await anyio.sleep(9)
+        for name in dict.fromkeys([leader(world), *owners(world)[:1]]):
+            world.crash(name)
+            await anyio.sleep(0.3)
+            world.start_node(name)
+
+
+def played_close_looks(seed: int, lost_answers: float) -> Onlooker:
+    seen: list[Onlooker] = []
+    world = World(seed)
+
+    async def script() -> None:
+        seen.append(await close_looks(world, lost_answers))
+
+    run_script(world, 130.0, script)
+    assert world.broken == []
+    (onlooker,) = seen
+    assert onlooker.answers > 1000 and set(onlooker.known.values()) == {2}
+    return onlooker
+
+
+@pytest.mark.parametrize("seed", [1, 2, 3])
+@pytest.mark.parametrize("lost_answers", [0.0, 0.25])
+def test_no_controller_answers_something_older_than_another(seed: int, lost_answers: float) -> None:
+    assert played_close_looks(seed, lost_answers).broken == []
+
+
+@pytest.mark.parametrize("seed", [1, 2])
+def test_answers_from_a_mirror_that_may_be_old_are_noticed(
+    seed: int, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    no_check_that_the_mirror_is_current(monkeypatch)
+    assert any("older_answer" in b for b in played_close_looks(seed, 0.0).broken)
+
+
+@pytest.mark.parametrize("seed", [1, 2])
+def test_whole_days_with_lost_answers_of_transactions_start_nothing_twice(seed: int) -> None:
+    """Attempts and tokens that were written without knowing stay unique (the stand-in of a worker
+    fails on one that is repeated), leaders and owners change meanwhile."""
+
+    async def script(world: World) -> None:
+        await anyio.sleep(3)
+        hand_in(world, 8, pieces=5, cpus=2.0, true_s=14.0)
+        for n in range(8, 12):
+            body = world.job(name_id=f"run-{n:06d}", shape="group", pieces=3, true_s=20.0)
+            world.group.start_soon(world.user, body["name_id"], body, 25.0 if n == 9 else None)
+        world.lost_answers = 0.3
+        for _ in range(5):
+            await anyio.sleep(14)
+            name = world.random.choice(world.names)
+            world.crash(name)
+            await anyio.sleep(0.3)
+            world.start_node(name)
+        world.lost_answers = 0.0
+        world.calm_at = now()
+
+    world = day(script, seed, 330.0)
+    assert world.broken == [] and end_of_day(world) == []
+    assert finished(world) == {} and len(world.accepted) == 12
+
+
+# Reports that are kept for the next leader
+
+
+async def kept_for_the_next_leader(world: World) -> None:
+    """Copies of reports reach every controller just as a new leader and new owners begin."""
+    await anyio.sleep(3)
+    hand_in(world, 16, pieces=8, cpus=2.0, true_s=11.0)
+    for _ in range(4):
+        await anyio.sleep(8)
+        world.kept = copies = []
+        await anyio.sleep(4)
+        world.kept = None
+        await anyio.sleep(6)
+        unreachable = [w for _, w in sorted(world.workers.items())][::3]
+        for worker in unreachable:
+            worker.cut = True
+        for name in dict.fromkeys([leader(world), *owners(world)]):
+            world.crash(name)
+            await anyio.sleep(0.2)
+            world.start_node(name)
+        for _ in range(30):
+            await anyio.sleep(0.1)
+            if any(node.leader is not None for node in world.nodes.values()):
+                break
+        await world.deliver(copies)
+        await anyio.sleep(8)
+        for worker in unreachable:
+            worker.cut = False
+    world.calm_at = now()
+
+
+@pytest.mark.parametrize("seed", [1, 2])
+def test_reports_kept_for_the_next_leader_settle_nothing(
+    seed: int, caplog: pytest.LogCaptureFixture
+) -> None:
+    world = day(kept_for_the_next_leader, seed, 330.0)
+    assert world.copied > 200
+    assert "event=unexpected_task" not in caplog.text  # no owner finds what it thought elsewhere
+    assert world.broken == [] and end_of_day(world) == [] and finished(world) == {}
+
+
+def old_reports_settle(patch: pytest.MonkeyPatch) -> None:
+    """Whatever a report shows counts, whichever token it carries."""
+    take = PartCore._take_tasks
+
+    def trusting(
+        self: PartCore, at: float, machine: Any, report: Any, settles: bool, new: bool
+    ) -> Any:
+        self.unheard.discard(machine.id)
+        orders = take(self, at, machine, report, True, new)
+        self._settle_unsure(at)
+        return orders
+
+    patch.setattr(PartCore, "_take_tasks", trusting)
+
+
+def test_old_reports_that_settle_are_noticed(
+    monkeypatch: pytest.MonkeyPatch, caplog: pytest.LogCaptureFixture
+) -> None:
+    """Tasks that run were waiting to be started by then."""
+    old_reports_settle(monkeypatch)
+    day(kept_for_the_next_leader, 1, 330.0)
+    assert "event=unexpected_task" in caplog.text
+
+
+# Direct commands
+
+
+def test_no_command_is_sent_to_a_worker_directly(monkeypatch: pytest.MonkeyPatch) -> None:
+    """So none can be held up, come after a newer leader's, or act for one that was deposed: a
+    controller connects to the state service, the cloud and its peers, to nobody else."""
+    asked: set[tuple[str, str]] = set()
+    start = World.start_node
+
+    def spy(world: World, name: str) -> None:
+        start(world, name)
+        node = world.nodes[name]
+        for wire, service in ((node.state._http, "state"), (node.cloud, "cloud")):
+            put = wire.request
+
+            async def request(
+                method: str, target: str, body: bytes | None, within: float,
+                put: Any = put, service: str = service,
+            ) -> tuple[int, bytes]:  # fmt: skip
+                asked.add((service, target.partition("?")[0].split("/")[1]))
+                result: tuple[int, bytes] = await put(method, target, body, within)
+                return result
+
+            wire.request = request  # type: ignore[method-assign]
+
+    monkeypatch.setattr(World, "start_node", spy)
+    day(kept_for_the_next_leader, 1, 120.0)
+    assert asked == {
+        ("state", "keys"), ("state", "changes"), ("state", "multi"), ("state", "leases"),
+        ("cloud", "catalog"), ("cloud", "hosts"),
+    }  # fmt: skip
+    sources = Path(dapplewick.__file__).parent.rglob("*.py")
+    made = {path.name for path in sources if HttpClient.__name__ in path.read_text()}
+    assert made == {"client.py", "http.py", "node.py"}  # and no other code makes connections
+
+
+# Machines that are up at once, while writes lag and the leader ends
+
+
+async def up_at_once(world: World) -> None:
+    world.boot_s = (0.1, 2.0)
+    world.slow = 60.0
+    world.late_writes = 0.1
+    await anyio.sleep(3)
+    for n in range(16):
+        hand_in(world, 1, first=n, pieces=4, cpus=2.0, true_s=12.0)
+        await anyio.sleep(3)
+        if n % 4 == 2:
+            for name in dict.fromkeys([leader(world), *owners(world)[:1]]):
+                world.crash(name)
+                await anyio.sleep(0.4)
+                world.start_node(name)
+    world.slow, world.late_writes = 1.0, 0.0
+    world.calm_at = now()
+
+
+@pytest.mark.parametrize("seed", [1, 2])
+def test_machines_that_are_up_at_once_get_work_while_writes_lag(seed: int) -> None:
+    world = day(up_at_once, seed, 330.0)
+    assert world.broken == [] and end_of_day(world) == [] and finished(world) == {}
+
+
+def test_work_on_machines_that_nobody_waits_for_is_noticed(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    no_wait_for_unheard_machines(monkeypatch)
+    worlds = (day(up_at_once, seed, 330.0) for seed in range(1, 6))
+    assert any(b.startswith("ran_twice") for world in worlds for b in world.broken)
+
+
+# Many small jobs
+
+
+def test_small_jobs_four_a_second_keep_pace_within_the_write_rate(
+    caplog: pytest.LogCaptureFixture,
+) -> None:
+    """One task each, a quarter cancelled, at the lower limits, for two minutes."""
+    caplog.set_level(logging.ERROR)
+    world = World(5)
+    waits: list[float] = []
+    ended: list[float] = []
+
+    async def user(number: int) -> None:
+        job_id = f"run-{number:06d}"
+        body = submission(world, job_id, pieces=1, cpus=0.5, ram_gb=0.5, true_s=2.0)
+        begun, status = now(), 0
+        while status not in (200, 201):
+            status, _ = await world.ask("POST", "/v2/runs", body)
+            if status not in (200, 201):
+                await anyio.sleep(1.0)
+        waits.append(now() - begun)
+        world.accepted.add(job_id)
+        world.accepted_at[job_id] = now()
+        if number % 4 == 0:
+            await anyio.sleep(0.6)
+            status = 0
+            while status != 200:
+                status, said = await world.ask("POST", f"/v2/runs/{job_id}/abort")
+                await anyio.sleep(0.2 if status == 200 else 1.0)
+            world._told(job_id, said["stage"], True)
+        while world.told.get(job_id) not in ("done", "withdrawn"):
+            await anyio.sleep(3.0)
+            status, said = await world.ask("GET", f"/v2/runs/{job_id}")
+            assert status != 404
+            if status == 200:
+                world._told(job_id, said["stage"], job_id in world.cancelled_at)
+        ended.append(now() - begun)
+
+    async def script() -> None:
+        world.state.lowered, world.state.rate = True, float(NEXT["write_rps"])
+        await anyio.sleep(3)
+        for number in range(480):
+            world.group.start_soon(user, number)
+            await anyio.sleep(0.25)
+        world.calm_at = now()
+
+    run_script(world, 190.0, script)
+    assert world.broken == [] and end_of_day(world) == []
+    assert len(ended) == 480 and caplog.records == []
+    assert sorted(waits)[int(0.99 * len(waits))] < 1.0
+    assert sorted(ended)[int(0.95 * len(ended))] < 45.0
+    assert world.state.refused[400] == 0 and world.state.refused[429] <= 5
+
+
+# Cancellations while a part changes its owner, teams at their limit
+
+
+async def cancelled_in_a_handover(world: World) -> None:
+    await anyio.sleep(3)
+    hand_in(world, 10, pieces=4, cpus=4.0, true_s=25.0, crew="blue")  # at its limit of 24 CPUs
+    hand_in(world, 8, first=10, pieces=3, cpus=2.0, true_s=90.0)
+    for step in range(5):
+        await anyio.sleep(16)
+        owner = owners(world)[0]
+        there = [(w, n.split("/")[0]) for w, n in world.on_machines()]
+        running = sorted({j for _, j in there} - world.cancelled_at.keys())
+        called_off = [running[0], running[-1]]
+        lost = [w for w, j in there if j in called_off][:2]
+        for worker in lost:
+            worker.cut, worker.hanging = step % 2 == 0, step % 2 == 1
+        world.crash(owner)
+        for job_id in called_off:
+            name = next(n for n in world.names if n in world.nodes and world.nodes[n].ready)
+            await cancel(world, name, [job_id])
+            await anyio.sleep(0.3)
+        world.start_node(owner)
+        await anyio.sleep(10)
+        for worker in lost:
+            worker.cut = worker.hanging = False
+    world.calm_at = now()
+
+
+@pytest.mark.parametrize("seed", [1, 2])
+def test_cancellations_while_a_part_changes_its_owner(seed: int) -> None:
+    world = day(cancelled_in_a_handover, seed, 420.0)
+    assert len(world.cancelled_at) > 6
+    assert world.broken == [] and end_of_day(world) == [] and finished(world) == {}
+
+
+def test_cancelled_tasks_that_go_on_after_a_handover_are_noticed(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    no_stop_of_cancelled_tasks(monkeypatch)
+    world = day(cancelled_in_a_handover, 1, 420.0)
+    assert any(b.startswith("ran_cancelled") for b in world.broken)
+
+
+# The day's checks can fail
+
+
+def world_of_jobs(started: dict[str, float], pieces: int = 1) -> World:
+    """A day of three jobs at 0 s; `started` says which task began when."""
+    world = World(1)
+    for n in range(3):
+        name = f"run-{n}"
+        world.jobs[name] = world.job(name_id=name, pieces=pieces, bundle="x", crew="red")
+        world.accepted.add(name)
+        world.accepted_at[name] = 0.0
+    world.first_start = started
+    world.starts = len(started)
+    return world
+
+
+ALL_STARTED = {"run-0/0": 1.0, "run-1/0": 1.0, "run-2/0": 1.0}
+
+
+@pytest.mark.parametrize(
+    ("started", "broken"),
+    [
+        (ALL_STARTED, []),
+        ({}, ["nothing_ran", "served class x", "served team red", "served largest x"]),
+        ({"run-0/0": 1.0}, ["served class x", "served team red", "served largest x"]),
+        (ALL_STARTED | {"run-2/0": 241.0}, ["late run-2"]),
+    ],
+)
+def test_the_end_of_a_day_is_checked(started: dict[str, float], broken: list[str]) -> None:
+    found = end_of_day(world_of_jobs(started))
+    assert [b for b in found if b in broken] == broken
+    assert bool(found) == bool(broken)
+
+
+def test_starts_after_a_confirmed_cancellation_are_counted() -> None:
+    world = world_of_jobs(ALL_STARTED)
+    world.started_after_cancel["run-0/0"] = 2.0  # was on its way
+    world.started_after_cancel["run-1/0"] = 12.5
+    assert end_of_day(world) == ["started_after_cancel run-1/0 12.5"]
+
+
+def test_an_older_answer_is_noticed() -> None:
+    onlooker = Onlooker(World(1))
+    for before, stage, broken in [(0, "unknown", 0), (0, "queued", 0), (1, "unknown", 1),
+                                  (1, "done", 1), (2, "running", 2), (2, "done", 2)]:  # fmt: skip
+        onlooker.note("run-1", before, stage)
+        assert len(onlooker.broken) == broken
+    assert onlooker.known == {"run-1": 2}
--- a/tests/test_days.py
+++ b/tests/test_days.py
@@ -304,9 +304,9 @@
     run_day(main)
 
 
-def hand_in(world: World, count: int, **fields: object) -> None:
+def hand_in(world: World, count: int, first: int = 0, **fields: object) -> None:
     """Users hand in jobs that are alike, from run-000000 on."""
-    for n in range(count):
+    for n in range(first, first + count):
         body = world.job(name_id=f"run-{n:06d}", **fields)
         world.group.start_soon(world.user, body["name_id"], body, None)
 
