--- /dev/null
+++ b/src/dapplewick/core/job_writes.py
@@ -0,0 +1,183 @@
+"""Drafts of job records as writes that fit the limits of the state service.
+
+A record that may outgrow a value is kept in several keys: an array's tasks in chunks, the place of
+a long gang in shares. Which keys are written in which order decides what a leader that ends on the
+way leaves behind; each step is harmless if the next never comes.
+"""
+
+from __future__ import annotations
+
+import logging
+from collections.abc import Collection, Iterator
+
+import msgspec
+
+from dapplewick.core.machines import Change
+from dapplewick.storage.records import (
+    CHUNKS,
+    DONE,
+    FORMAT_NOW,
+    JOBS,
+    PLACES,
+    JobRecord,
+    Mirror,
+    chunk_tasks,
+    size_of,
+)
+from dapplewick.types import JobId, Seconds
+
+log = logging.getLogger("dapplewick.leader")
+
+RANK_ENDS, RANK_GRANTS, RANK_CLEARED, RANK_PROGRESS = 0, 1, 2, 3  # what is written first
+PROGRESS_S = 1.0  # done tasks of an unfinished job are stored at most this often
+CHUNKS_AT_ONCE = 2.0  # a job of which more chunks changed stores its progress less often
+CONVERT_MOST = 2  # jobs whose records are cut into chunks at the same time
+CONVERT_WRITES = 6  # and writes for it in one pass
+MANY_PLACES = 8  # gangs with fewer tasks always fit into one value
+SHARE_BYTES = 60  # of a share's value, beside its places
+
+
+class JobWrites:
+    """The writes for drafts of job records, within the lower of all limits."""
+
+    def __init__(self, mirror: Mirror, zones: list[str], value_bytes: int) -> None:
+        self._mirror = mirror
+        self._zones = zones
+        self._value_bytes = value_bytes
+        self._converting: set[JobId] = set()
+        self._outgrows: dict[JobId, bool] = {}
+        self._stored_at: dict[JobId, Seconds] = {}
+
+    def written(self, now: Seconds, job_id: JobId) -> None:
+        """A key of this job is stored."""
+        self._stored_at[job_id] = now
+
+    def changes(self, now: Seconds, job_id: JobId, job: JobRecord, rank: int) -> list[Change]:
+        """The writes for a draft: of the record, or of the keys that it is kept in."""
+        old = self._mirror.jobs[job_id]
+        if job_id in self._converting and job.stage == old.stage:
+            return []
+        since = now - self._stored_at.get(job_id, 0.0)
+        if job.chunk:
+            return self._chunked_changes(since, job_id, job, old, rank)
+        if rank == RANK_PROGRESS and since < PROGRESS_S:
+            return []
+        shares = self._place_shares(job_id, job, rank)
+        value = job.dump(self._value_bytes)
+        if self._mirror.format >= FORMAT_NOW and size_of(value) > self._value_bytes:
+            return []  # it is cut first; what is not written is found again
+        return [*shares, Change(JOBS + job_id, value, job.main_version, rank)]
+
+    def _chunked_changes(
+        self, since: Seconds, job_id: JobId, job: JobRecord, old: JobRecord, rank: int
+    ) -> list[Change]:
+        key = JOBS + job_id
+        out = []
+        if (job.stage, job.gang) != (old.stage, old.gang):
+            out.append(Change(key, job.dump(), job.main_version, rank))
+        if job.stage == DONE:
+            return out
+        changed = sorted(job.chunks_changed(old))
+        pause = PROGRESS_S * max(1.0, len(changed) / CHUNKS_AT_ONCE)
+        if rank == RANK_PROGRESS and since < pause:
+            return out
+        for number in changed:
+            chunk = f"{CHUNKS}{job_id}/{number}"
+            value, version = job.chunk_value(number), self._mirror.version(chunk)
+            if value is not None or version:
+                out.append(Change(chunk, value, version, rank, ((key, job.main_version),)))
+        return out
+
+    def _place_shares(self, job_id: JobId, job: JobRecord, rank: int) -> list[Change]:
+        """The keys for a long gang's place, written before the record that names their number.
+        They name the attempt: what a leader that ended on the way left behind is not read."""
+        gang = job.gang
+        if gang is None or gang.shares or self._mirror.format < FORMAT_NOW:
+            return []
+        if size_of(job.dump()) <= self._value_bytes:
+            return []
+        longest = max(size_of(place) + 1 for place in gang.places)
+        most = max(1, (self._value_bytes - SHARE_BYTES) // longest)
+        shares = [gang.places[i : i + most] for i in range(0, len(gang.places), most)]
+        job.gang = msgspec.structs.replace(gang, shares=len(shares))
+        out = []
+        for number, places in enumerate(shares):
+            key = f"{PLACES}{job_id}/{number}"
+            value = {"attempt": gang.attempt, "places": [list(p) for p in places]}
+            out.append(Change(key, value, self._mirror.version(key), rank))
+        return out
+
+    def oversized_places(self) -> Iterator[JobId]:
+        """Gangs whose place was written into their own record when a value could hold more.
+
+        They are to be written anew, with shares. Guards against a cancellation that is refused
+        for its size: it keeps the places, since tasks may still be there, and once the limit has
+        fallen it could not be written.
+        """
+        if self._mirror.format < FORMAT_NOW:
+            return
+        for job_id, job in self._mirror.each_live():
+            gang = job.gang
+            if gang is None or gang.shares or len(gang.places) < MANY_PLACES:
+                continue
+            if size_of(job.dump()) > self._value_bytes:
+                yield job_id
+
+    def convert(self) -> list[Change]:
+        """Cut arrays whose records may outgrow a value into chunks, a few writes at a time.
+
+        They were written before chunks were known. First come the chunks, which nobody reads yet,
+        and when all are as the record says, the record itself. Only the leader changes either, but
+        for a cancellation, which makes the last write fail; meanwhile nothing else of the job is
+        changed. Each of these writes is small, so this goes on also when the limit has fallen.
+        """
+        self._converting = set()
+        if self._mirror.format < FORMAT_NOW:
+            return []
+        out: list[Change] = []
+        for job_id, job in self._mirror.each_live():
+            if job.chunk or job.spec.gang or not job.open or not self._may_outgrow(job_id, job):
+                continue
+            self._converting.add(job_id)
+            out += self._conversion(job_id, job, CONVERT_WRITES - len(out))
+            if len(self._converting) >= CONVERT_MOST or len(out) >= CONVERT_WRITES:
+                break
+        return out
+
+    def _conversion(self, job_id: JobId, job: JobRecord, most: int) -> list[Change]:
+        """The next writes, at most so many, that cut one job's record into chunks."""
+        target = job.copy()
+        target.chunk = chunk_tasks(job.spec.tasks, self._zones, self._value_bytes)
+        wanted = target.chunk_values()
+        stored = {n: chunk.value for n, chunk in self._mirror.chunks.get(job_id, {}).items()}
+        differ = [n for n in sorted(wanted | stored) if wanted.get(n) != stored.get(n)]
+        if not differ:
+            log.info("event=job_cut job=%s chunks=%d", job_id, len(wanted))
+            return [Change(JOBS + job_id, target.dump(), job.main_version, RANK_GRANTS)]
+        unchanged = ((JOBS + job_id, job.main_version),)
+        out = []
+        for number in differ[:most]:
+            key = f"{CHUNKS}{job_id}/{number}"
+            version = self._mirror.version(key)
+            out.append(Change(key, wanted.get(number), version, RANK_CLEARED, unchanged))
+        return out
+
+    def _may_outgrow(self, job_id: JobId, job: JobRecord) -> bool:
+        known = self._outgrows.get(job_id)
+        if known is None:
+            known = self._outgrows[job_id] = job.outgrows(self._zones, self._value_bytes)
+        return known
+
+    def leftovers(self, drafted: Collection[JobId]) -> list[Change]:
+        """The removal of keys of jobs that nothing reads any more."""
+        out = []
+        for job_id in [*self._mirror.chunks, *self._mirror.places]:
+            job = self._mirror.jobs.get(job_id)
+            if job is None or job_id in self._converting:
+                continue
+            if not job.open and not job.grants:
+                out += [f"{CHUNKS}{job_id}/{n}" for n in self._mirror.chunks.get(job_id, {})]
+            if job.gang is None and job_id not in drafted:
+                out += [f"{PLACES}{job_id}/{n}" for n in self._mirror.places.get(job_id, {})]
+        keys = list(dict.fromkeys(out))[:CONVERT_WRITES]
+        return [Change(key, None, self._mirror.version(key), RANK_PROGRESS) for key in keys]
--- a/src/dapplewick/core/leader.py
+++ b/src/dapplewick/core/leader.py
@@ -16,28 +16,27 @@
 from dapplewick.config import Settings
 from dapplewick.core.demand import AcceleratorDemand, GangDemand
 from dapplewick.core.estimates import Estimates
-from dapplewick.core.fleet import Fleet, Need, wanted_slots
+from dapplewick.core.fleet import Fleet, Need
+from dapplewick.core.job_writes import RANK_GRANTS, JobWrites
 from dapplewick.core.machines import Change, MachineBook, Silence
-from dapplewick.core.model import GANG_RANK, PartRooms, View, view_of
+from dapplewick.core.model import GANG_RANK, PartRooms, view_of
+from dapplewick.core.needs import NeedPlanner, Waiting
+from dapplewick.core.part_view import PartView
 from dapplewick.core.placing import LONG_HOLD_S, place_gang
 from dapplewick.protocol.wire import JobSpec, MachineList, MachineType, types_value
 from dapplewick.storage.records import (
     BOOKINGS,
-    CHUNKS,
     DONE,
     FORMAT,
     FORMAT_NOW,
-    JOBS,
     MACHINES,
     PARTS,
-    PLACES,
     TYPE_KEYS,
     TYPES,
     GangPlace,
     JobRecord,
     MachineRecord,
     Mirror,
-    chunk_tasks,
     job_of,
     size_of,
 )
@@ -46,7 +45,6 @@
     PER_TOKEN,
     JobId,
     MachineId,
-    Revision,
     Seconds,
     Size,
     Token,
@@ -56,74 +54,16 @@
 log = logging.getLogger("dapplewick.leader")
 
 STATUS_S = 6.0  # a part silent for longer gets no new work
-PROGRESS_S = 1.0  # done tasks of an unfinished job are stored at most this often
 DEAF_S = 6.0  # an owner that heard nothing for this long may be cut off from its workers
 DEAF_LEAST = 2  # of this many machines at least: one alone may be silent itself
 QUEUE_LEAST = 2
 LOAD_LOG_S = 10.0
 QUEUE_SHARE = 0.15  # singles queued in a part, beyond what fits, by running ones
 HOLD_SHARE = 0.25  # of its run time, or of its wait so far, a gang may hold idle slots
-LEAST_RUN_S = 1.0  # an owner may say that a task takes no time at all
-STARVED_S = 60.0  # a job of which nothing started for so long has machines rented for it
 UNAIMED_WAIT_S = 90.0  # work without aims lets gangs with some go first for this long
-CONVERT_MOST = 2  # jobs whose records are cut into chunks at the same time
-CONVERT_WRITES = 6  # and writes for it in one pass
-MANY_PLACES = 8  # gangs with fewer tasks always fit into one value
 FLEET_S = 1.0  # renting and returning is thought about this often
 
 
-class PartView:
-    """What a part has told, put together from its statuses."""
-
-    def __init__(self, zone: Zone, token: int) -> None:
-        self.zone = zone
-        self.token = token
-        self.number = 0  # of the newest status
-        self.at = -1e9
-        self.clock = 0.0  # our clock less the part's
-        self.seen = Revision(0)
-        self.machines: dict[MachineId, dict[str, Any]] = {}
-        self.views: dict[MachineId, View] = {}
-        self.jobs: dict[JobId, dict[str, Any]] = {}
-        self.gangs: dict[JobId, tuple[int, str, float]] = {}
-        self.fresh: dict[str, Any] = {}  # what each status tells in full
-
-    def apply(self, now: Seconds, body: dict[str, Any]) -> bool:
-        """Take over a status; False if something before it is missing here."""
-        number, base = int(body["number"]), int(body["base"])
-        if base > self.number:
-            return False
-        if number <= self.number:
-            return True
-        if base == 0:
-            self.machines.clear()
-            self.views.clear()
-            self.jobs.clear()
-            self.gangs.clear()
-        self.number = number
-        self.at = now
-        self.clock = now - float(body["at"])
-        self.seen = Revision(body["seen"])
-        for machine_id, machine in body["machines"].items():
-            self.views.pop(machine_id, None)
-            if machine is None:
-                self.machines.pop(machine_id, None)
-            else:
-                self.machines[machine_id] = machine
-        _merge(self.jobs, body["jobs"])
-        _merge(self.gangs, body["gangs"])
-        self.fresh = body
-        return True
-
-
-def _merge(into: dict[Any, Any], changes: dict[Any, Any]) -> None:
-    for key, value in changes.items():
-        if value is None:
-            into.pop(key, None)
-        else:
-            into[key] = value
-
-
 class LeaderCore:
     """Plans of one term of leadership."""
 
@@ -153,14 +93,15 @@
             mirror, self.fleet, self.settings.workers.lease_s, self.settings.cloud.list_lag_s,
             limits.value_bytes, limits.txn_ops, self.settings.workers.report_s,
         )  # fmt: skip
-        self._converting: set[JobId] = set()
-        self._outgrows: dict[JobId, bool] = {}
+        self._job_writes = JobWrites(mirror, self.settings.zones, limits.value_bytes)
         self.parts: dict[Zone, PartView] = {}
+        self._need_planner = NeedPlanner(
+            mirror, self.settings.zones, estimates, self.tuning, self.gangs, self.parts, self._job
+        )
         self.rented: dict[str, list[MachineId] | None] = {}
         self.types: list[MachineType] = []
         self._counter = 0
         self._draft: dict[JobId, tuple[JobRecord, int]] = {}
-        self._stored_at: dict[JobId, Seconds] = {}
         self._low: dict[JobId, int] = {}
         self._teams = {t.name: t for t in self.settings.teams}
         self._load_at = now
@@ -251,10 +192,13 @@
         fleet = self._fleet_changes(now, wall, rooms, ordered)
         # Machines before the end of the booking that rented them: what the budget cuts off is
         # the end of this list, and a machine without record or booking is found only later.
-        changes = self._raise_format() + self.book.changes() + fleet + self._convert()
+        writes = self._job_writes
+        changes = self._raise_format() + self.book.changes() + fleet + writes.convert()
+        for job_id in writes.oversized_places():
+            self._edit(job_id, RANK_GRANTS)
         for job_id, (job, rank) in self._draft.items():
-            changes += self._job_changes(now, job_id, job, rank)
-        changes += self._leftovers()
+            changes += writes.changes(now, job_id, job, rank)
+        changes += writes.leftovers(self._draft)
         changes.sort(key=lambda c: c.rank)
         if log.isEnabledFor(logging.DEBUG) and now - self._load_at > LOAD_LOG_S:
             self._load_at = now
@@ -270,124 +214,12 @@
         log.info("event=format_raised version=%d", FORMAT_NOW)
         return [Change(FORMAT, {"version": FORMAT_NOW}, self.mirror.version(FORMAT), 0)]
 
-    def _job_changes(self, now: Seconds, job_id: JobId, job: JobRecord, rank: int) -> list[Change]:
-        """The writes for a draft: of the record, or of the keys that it is kept in."""
-        old = self.mirror.jobs[job_id]
-        key = JOBS + job_id
-        if job_id in self._converting and job.stage == old.stage:
-            return []
-        since = now - self._stored_at.get(job_id, 0.0)
-        if not job.chunk:
-            if rank == 3 and since < PROGRESS_S:
-                return []
-            out = self._place_shares(job_id, job, rank)
-            value = job.dump(self._value_bytes)
-            if self.mirror.format >= FORMAT_NOW and size_of(value) > self._value_bytes:
-                return []  # it is cut first; what is not written is found again
-            return [*out, Change(key, value, job.main_version, rank)]
-        out = []
-        if (job.stage, job.gang) != (old.stage, old.gang):
-            out.append(Change(key, job.dump(), job.main_version, rank))
-        if job.stage == DONE:
-            return out
-        changed = sorted(job.chunks_changed(old))
-        if rank == 3 and since < PROGRESS_S * max(1.0, len(changed) / 2.0):
-            return out
-        for number in changed:
-            chunk = f"{CHUNKS}{job_id}/{number}"
-            value, version = job.chunk_value(number), self.mirror.version(chunk)
-            if value is not None or version:
-                out.append(Change(chunk, value, version, rank, ((key, job.main_version),)))
-        return out
-
-    def _place_shares(self, job_id: JobId, job: JobRecord, rank: int) -> list[Change]:
-        """The keys for a long gang's place, written before the record that names their number.
-        They name the attempt: what a leader that ended on the way left behind is not read."""
-        gang = job.gang
-        if gang is None or gang.shares or self.mirror.format < FORMAT_NOW:
-            return []
-        if size_of(job.dump()) <= self._value_bytes:
-            return []
-        most = max(1, (self._value_bytes - 60) // max(size_of(p) + 1 for p in gang.places))
-        parts = [gang.places[i : i + most] for i in range(0, len(gang.places), most)]
-        job.gang = msgspec.structs.replace(gang, shares=len(parts))
-        out = []
-        for number, places in enumerate(parts):
-            key = f"{PLACES}{job_id}/{number}"
-            value = {"attempt": gang.attempt, "places": [list(p) for p in places]}
-            out.append(Change(key, value, self.mirror.version(key), rank))
-        return out
-
-    def _convert(self) -> list[Change]:
-        """Arrays whose records may outgrow a value, and were written before chunks were known,
-        are cut, a few writes at a time: first the chunks, which nobody reads yet, and when all
-        are as the record says, the record itself. Only the leader changes either, but for a
-        cancellation, which makes the last write fail; meanwhile it changes nothing else of the
-        job. Each of these writes is small, so this goes on also when the limit has fallen."""
-        self._converting = set()
-        if self.mirror.format < FORMAT_NOW:
-            return []
-        self._convert_places()
-        out: list[Change] = []
-        for job_id, job in self.mirror.each_live():
-            if job.chunk or job.spec.gang or not job.open or not self._may_outgrow(job_id, job):
-                continue
-            self._converting.add(job_id)
-            target = job.copy()
-            target.chunk = chunk_tasks(job.spec.tasks, self.settings.zones, self._value_bytes)
-            wanted = target.chunk_values()
-            there = {n: c.value for n, c in self.mirror.chunks.get(job_id, {}).items()}
-            differ = [n for n in sorted(wanted | there) if wanted.get(n) != there.get(n)]
-            for number in differ[: CONVERT_WRITES - len(out)]:
-                key = f"{CHUNKS}{job_id}/{number}"
-                needs = ((JOBS + job_id, job.main_version),)
-                out.append(Change(key, wanted.get(number), self.mirror.version(key), 2, needs))
-            if not differ:
-                log.info("event=job_cut job=%s chunks=%d", job_id, len(wanted))
-                out.append(Change(JOBS + job_id, target.dump(), job.main_version, 1))
-            if len(self._converting) >= CONVERT_MOST or len(out) >= CONVERT_WRITES:
-                break
-        return out
-
-    def _convert_places(self) -> None:
-        """Places of long gangs that were written into the job's own record are moved to shares.
-
-        Guards against a cancellation that is refused for its size: it keeps the places, since
-        tasks may still be there, and once the limit has fallen it could not be written.
-        """
-        for job_id, job in self.mirror.each_live():
-            gang = job.gang
-            if gang is None or gang.shares or len(gang.places) < MANY_PLACES:
-                continue
-            if size_of(job.dump()) > self._value_bytes:
-                self._edit(job_id, 1)
-
-    def _may_outgrow(self, job_id: JobId, job: JobRecord) -> bool:
-        known = self._outgrows.get(job_id)
-        if known is None:
-            known = self._outgrows[job_id] = job.outgrows(self.settings.zones, self._value_bytes)
-        return known
-
-    def _leftovers(self) -> list[Change]:
-        """Keys of jobs that nothing reads any more."""
-        out = []
-        for job_id in [*self.mirror.chunks, *self.mirror.places]:
-            job = self.mirror.jobs.get(job_id)
-            if job is None or job_id in self._converting:
-                continue
-            if not job.open and not job.grants:
-                out += [f"{CHUNKS}{job_id}/{n}" for n in self.mirror.chunks.get(job_id, {})]
-            if job.gang is None and job_id not in self._draft:
-                out += [f"{PLACES}{job_id}/{n}" for n in self.mirror.places.get(job_id, {})]
-        keys = dict.fromkeys(out)
-        return [Change(key, None, self.mirror.version(key), 3) for key in [*keys][:CONVERT_WRITES]]
-
     def written(self, now: Seconds, changes: Iterable[Change]) -> None:
         """These changes are stored."""
         for change in changes:
             job_id = job_of(change.key)
             if job_id is not None:
-                self._stored_at[job_id] = now
+                self._job_writes.written(now, job_id)
             elif change.key.startswith(MACHINES):
                 self.book.written(now, change.key[len(MACHINES) :])
 
@@ -395,7 +227,7 @@
         self,
         wall: Seconds,
         rooms: list[PartRooms],
-        ordered: list[tuple[JobId, JobRecord, int]],
+        ordered: list[Waiting],
     ) -> None:
         """What there is and what waits, for those who look for a cause."""
         kinds: dict[str, list[float]] = {}
@@ -694,7 +526,7 @@
                 within.add(job_id)
         return within
 
-    def _singles(self, wall: Seconds) -> list[tuple[JobId, JobRecord, int]]:
+    def _singles(self, wall: Seconds) -> list[Waiting]:
         """Open arrays with tasks that are not granted, in the order in which they are served."""
         jobs = [(j, self._job(j)) for j in self.mirror.live_jobs]
         jobs = [(j, job) for j, job in jobs if job.open and not job.spec.gang]
@@ -703,15 +535,15 @@
         for job_id, job in jobs:
             granted = sum(len(tasks) for tasks in job.grants.values())
             left = job.spec.tasks - len(job.done) - granted
-            out.append((job_id, job, left))
+            out.append(Waiting(job_id, job, left))
         out.sort(
-            key=lambda o: (
-                -o[1].spec.rank,
-                o[0] not in within,
-                -self.tuning.class_weights.get(o[1].spec.bundle, 1.0),
-                self._due(o[1], wall),
-                o[1].at,
-                o[0],
+            key=lambda waiting: (
+                -waiting.job.spec.rank,
+                waiting.job_id not in within,
+                -self.tuning.class_weights.get(waiting.job.spec.bundle, 1.0),
+                self._due(waiting.job, wall),
+                waiting.job.at,
+                waiting.job_id,
             )
         )
         return out
@@ -736,7 +568,7 @@
         self,
         rooms: list[PartRooms],
         usage: dict[str, Size],
-        ordered: list[tuple[JobId, JobRecord, int]],
+        ordered: list[Waiting],
     ) -> None:
         """Parts get singles by their free room, and a few more for their queues."""
         queue_room = self._queue_room(rooms)
@@ -769,9 +601,7 @@
                     draft.grants[zone] = draft.granted(zone) | set(mine)
                 self._spend(spec, total, usage)
 
-    def _let_gangs_first(
-        self, wall: Seconds, ordered: list[tuple[JobId, JobRecord, int]]
-    ) -> list[tuple[JobId, JobRecord, int]]:
+    def _let_gangs_first(self, wall: Seconds, ordered: list[Waiting]) -> list[Waiting]:
         """Without the work of which users expect nothing, while gangs wait of which they do:
         its singles would take each room before it is large enough for a gang."""
         jobs = [self._job(j) for j in self.mirror.live_jobs]
@@ -784,9 +614,9 @@
         return [
             entry
             for entry in ordered
-            if entry[1].spec.bundle in self._aimed
-            or entry[1].spec.daemon
-            or wall - entry[1].at > UNAIMED_WAIT_S
+            if entry.job.spec.bundle in self._aimed
+            or entry.job.spec.daemon
+            or wall - entry.job.at > UNAIMED_WAIT_S
         ]
 
     def _queue_room(self, rooms: list[PartRooms]) -> dict[Zone, int]:
@@ -866,7 +696,7 @@
         now: Seconds,
         wall: Seconds,
         rooms: list[PartRooms],
-        ordered: list[tuple[JobId, JobRecord, int]],
+        ordered: list[Waiting],
     ) -> list[Change]:
         changes: list[Change] = []
         if self.types and {t.name: _shape(t) for t in self.types} != {
@@ -885,7 +715,7 @@
             changes.append(Change(key, None, self.mirror.version(key), 0))
         if now - self._fleet_at >= FLEET_S and self._ready(now):
             self._fleet_at = now
-            needs = self._needs(wall, ordered)
+            needs = self._need_planner.needs(wall, ordered)
             spare = self._spare_slots(rooms)
             bookings, unmet = self.fleet.rent(now, wall, needs, rooms)
             for asked in bookings:
@@ -922,101 +752,6 @@
         fresh = {p.zone for p in self._owned() if now - p.at < STATUS_S}
         return bool(zones) and zones <= fresh
 
-    def _needs(self, wall: Seconds, ordered: list[tuple[JobId, JobRecord, int]]) -> list[Need]:
-        needs: list[Need] = []
-        alike: dict[Any, int] = {}
-        for job_id in sorted(self.mirror.live_jobs, key=lambda j: self.mirror.jobs[j].at):
-            job = self._job(job_id)
-            if not job.spec.gang or not job.open:
-                continue
-            if job.gang is None or self._long_held(job_id, job.gang):
-                spec = job.spec
-                # Gangs that may span all parts need the same as one gang of all their tasks.
-                key = None if spec.one_zone or spec.spread else spec.shape
-                if key is not None and key in alike:
-                    old = needs[alike[key]]
-                    needs[alike[key]] = old._replace(tasks=old.tasks + spec.tasks)
-                    continue
-                if key is not None:
-                    alike[key] = len(needs)
-                needs.append(Need(spec, spec.tasks, True))
-        groups: dict[Any, list[tuple[JobId, JobRecord, int]]] = {}
-        for entry in ordered:
-            spec = entry[1].spec
-            if spec.daemon:
-                missing = self._replicas_missing(entry)
-                if missing:
-                    needs.append(Need(spec, missing, False, self._caps(entry[1])))
-                continue
-            caps = self._caps(entry[1])
-            if caps is not None and entry[2]:
-                # Room in a zone where none of it may start any more would seem to do for it.
-                each = max(LEAST_RUN_S, self.estimates.run_time(spec))
-                count = wanted_slots(entry[2] * each, 0, self.tuning.horizon_s)
-                needs.append(Need(spec, max(1, min(entry[2], count)), False, caps))
-            key = (tuple(spec.types or ()), spec.spot, spec.zone, spec.gpus > 0)
-            groups.setdefault(key, []).append(entry)
-        for entries in groups.values():
-            work, running, waiting, largest = 0.0, 0, 0, entries[0][1].spec
-            starved = 0.0
-            horizon = self.tuning.horizon_s
-            if largest.gpus > 0:
-                horizon = self.tuning.horizon_accelerator_s
-            for job_id, job, left in entries:
-                placed = sum(
-                    p.jobs[job_id]["placed"] for p in self.parts.values() if job_id in p.jobs
-                )
-                granted = sum(len(tasks) for tasks in job.grants.values())
-                running += placed
-                mine = left + max(0, granted - placed)
-                waiting += mine
-                each = max(LEAST_RUN_S, self.estimates.run_time(job.spec))
-                work += mine * each
-                if not placed and wall - job.at > STARVED_S:
-                    starved += mine * each
-                if mine and job.spec.cpus > largest.cpus:
-                    largest = job.spec
-            count = min(waiting, wanted_slots(work, running, horizon))
-            if work > 0 and running == 0:
-                count = max(1, count)
-            if starved > 0:
-                # The slots that run now are not free again as soon as was thought.
-                count = max(count, min(waiting, wanted_slots(starved, 0, horizon)))
-            if count > 0:
-                needs.append(Need(largest, count, False))
-        if self.gangs.spec is not None and self.gangs.slots >= 0.5:
-            # Idle slots for gangs still to come: renting when they are here is too late.
-            needs.append(Need(self.gangs.spec, math.ceil(self.gangs.slots), False))
-        # Accelerators first: gangs then see what CPUs these leave of the machines to come.
-        needs.sort(key=lambda need: need.spec.gpus == 0)
-        return needs
-
-    def _replicas_missing(self, entry: tuple[JobId, JobRecord, int]) -> int:
-        """Replicas of a service that are nowhere, nor on the way."""
-        job_id, job, _ = entry
-        placed = sum(int(p.jobs[job_id]["placed"]) for p in self.parts.values() if job_id in p.jobs)
-        return max(0, job.spec.tasks - placed)
-
-    def _caps(self, job: JobRecord) -> dict[str, int] | None:
-        """How many more of its tasks may be in each zone; None if it is bound to none."""
-        spec = job.spec
-        if spec.one_zone:
-            holders = [zone for zone, tasks in job.grants.items() if tasks]
-            return dict.fromkeys(holders, spec.tasks) if holders else None
-        if not spec.spread:
-            return None
-        return {z: max(0, spec.zone_cap - len(job.granted(z))) for z in self.settings.zones}
-
-    def _long_held(self, job_id: JobId, gang: GangPlace) -> bool:
-        """Whether a gang's slots will still be busy for long: more room is wanted then."""
-        for zone in gang.zones():
-            part = self.parts.get(Zone(zone))
-            if part is not None:
-                attempt, state, wait = part.gangs.get(job_id, (0, "", 0.0))
-                if attempt == gang.attempt and state == "held" and wait > LONG_HOLD_S:
-                    return True
-        return False
-
     def _returns(self, needs: list[Need], spare: int) -> None:
         """Machines that have been idle for a while go back, unless something waits for them."""
         placed = {
--- /dev/null
+++ b/src/dapplewick/core/needs.py
@@ -0,0 +1,175 @@
+"""For which work machines are missing: the needs on which renting and returning are decided."""
+
+from __future__ import annotations
+
+import math
+from collections.abc import Callable, Iterable, Mapping
+from typing import Any, NamedTuple
+
+from dapplewick.core.demand import GangDemand
+from dapplewick.core.estimates import Estimates
+from dapplewick.core.fleet import Need, wanted_slots
+from dapplewick.core.part_view import PartView
+from dapplewick.core.placing import LONG_HOLD_S
+from dapplewick.protocol.wire import JobSpec
+from dapplewick.storage.records import GangPlace, JobRecord, Mirror
+from dapplewick.tuning import Tuning
+from dapplewick.types import JobId, Seconds, Zone
+
+LEAST_RUN_S = 1.0  # an owner may say that a task takes no time at all
+STARVED_S = 60.0  # a job of which nothing started for so long has machines rented for it
+
+
+class Waiting(NamedTuple):
+    """An array or a service with tasks that are granted to no part."""
+
+    job_id: JobId
+    job: JobRecord
+    left: int  # such tasks
+
+
+class _ArrayWork:
+    """What arrays that may use the same machines want together."""
+
+    def __init__(self, first: JobSpec) -> None:
+        self.largest = first
+        self.seconds = 0.0  # of work, of tasks that run nowhere
+        self.starved_seconds = 0.0  # the same of jobs of which nothing started for long
+        self.running = 0
+        self.waiting = 0
+
+
+class NeedPlanner:
+    """Sums up what waits, at the leader and in the parts."""
+
+    def __init__(
+        self,
+        mirror: Mirror,
+        zones: list[str],
+        estimates: Estimates,
+        tuning: Tuning,
+        gangs: GangDemand,
+        parts: Mapping[Zone, PartView],
+        drafted: Callable[[JobId], JobRecord],
+    ) -> None:
+        self._mirror = mirror
+        self._zones = zones
+        self._estimates = estimates
+        self._tuning = tuning
+        self._gangs = gangs
+        self._parts = parts
+        self._drafted = drafted
+
+    def needs(self, wall: Seconds, ordered: Iterable[Waiting]) -> list[Need]:
+        """All needs of this moment, those for accelerators first."""
+        needs = self._gang_needs()
+        arrays: dict[Any, list[Waiting]] = {}
+        for waiting in ordered:
+            spec = waiting.job.spec
+            if spec.daemon:
+                needs += self._service_needs(waiting)
+                continue
+            needs += self._bound_needs(waiting)
+            key = (tuple(spec.types or ()), spec.spot, spec.zone, spec.gpus > 0)
+            arrays.setdefault(key, []).append(waiting)
+        for alike in arrays.values():
+            needs += self._array_needs(wall, alike)
+        if self._gangs.spec is not None and self._gangs.slots >= 0.5:
+            # Idle slots for gangs still to come: renting when they are here is too late.
+            needs.append(Need(self._gangs.spec, math.ceil(self._gangs.slots), False))
+        # Accelerators first: gangs then see what CPUs these leave of the machines to come.
+        needs.sort(key=lambda need: need.spec.gpus == 0)
+        return needs
+
+    def _gang_needs(self) -> list[Need]:
+        """Gangs that wait at the leader, or hold slots that will be busy for long."""
+        needs: list[Need] = []
+        alike: dict[Any, int] = {}
+        for job_id in sorted(self._mirror.live_jobs, key=lambda j: self._mirror.jobs[j].at):
+            job = self._drafted(job_id)
+            spec = job.spec
+            if not spec.gang or not job.open:
+                continue
+            if job.gang is not None and not self._long_held(job_id, job.gang):
+                continue
+            if spec.one_zone or spec.spread:
+                needs.append(Need(spec, spec.tasks, True))
+            elif spec.shape in alike:
+                # Gangs that may span all parts need the same as one gang of all their tasks.
+                old = needs[alike[spec.shape]]
+                needs[alike[spec.shape]] = old._replace(tasks=old.tasks + spec.tasks)
+            else:
+                alike[spec.shape] = len(needs)
+                needs.append(Need(spec, spec.tasks, True))
+        return needs
+
+    def _long_held(self, job_id: JobId, gang: GangPlace) -> bool:
+        """Whether a gang's slots will still be busy for long: more room is wanted then."""
+        for zone in gang.zones():
+            part = self._parts.get(Zone(zone))
+            if part is not None:
+                attempt, state, wait = part.gangs.get(job_id, (0, "", 0.0))
+                if attempt == gang.attempt and state == "held" and wait > LONG_HOLD_S:
+                    return True
+        return False
+
+    def _service_needs(self, waiting: Waiting) -> list[Need]:
+        """Replicas of a service that are nowhere, nor on the way."""
+        spec = waiting.job.spec
+        missing = spec.tasks - self._placed(waiting.job_id)
+        return [Need(spec, missing, False, self._caps(waiting.job))] if missing > 0 else []
+
+    def _bound_needs(self, waiting: Waiting) -> list[Need]:
+        """An array bound to zones: room in a zone where none of it may start any more would seem
+        to do for it."""
+        caps = self._caps(waiting.job)
+        if caps is None or not waiting.left:
+            return []
+        spec = waiting.job.spec
+        each = max(LEAST_RUN_S, self._estimates.run_time(spec))
+        count = wanted_slots(waiting.left * each, 0, self._tuning.horizon_s)
+        return [Need(spec, max(1, min(waiting.left, count)), False, caps)]
+
+    def _caps(self, job: JobRecord) -> dict[str, int] | None:
+        """How many more of its tasks may be in each zone; None if it is bound to none."""
+        spec = job.spec
+        if spec.one_zone:
+            holders = [zone for zone, tasks in job.grants.items() if tasks]
+            return dict.fromkeys(holders, spec.tasks) if holders else None
+        if not spec.spread:
+            return None
+        return {z: max(0, spec.zone_cap - len(job.granted(z))) for z in self._zones}
+
+    def _array_needs(self, wall: Seconds, alike: list[Waiting]) -> list[Need]:
+        """Enough slots for all that waits to start within the horizon."""
+        work = self._array_work(wall, alike)
+        horizon = self._tuning.horizon_s
+        if alike[0].job.spec.gpus > 0:
+            horizon = self._tuning.horizon_accelerator_s
+        count = min(work.waiting, wanted_slots(work.seconds, work.running, horizon))
+        if work.seconds > 0 and work.running == 0:
+            count = max(1, count)
+        if work.starved_seconds > 0:
+            # The slots that run now are not free again as soon as was thought.
+            starved = wanted_slots(work.starved_seconds, 0, horizon)
+            count = max(count, min(work.waiting, starved))
+        return [Need(work.largest, count, False)] if count > 0 else []
+
+    def _array_work(self, wall: Seconds, alike: list[Waiting]) -> _ArrayWork:
+        work = _ArrayWork(alike[0].job.spec)
+        for job_id, job, left in alike:
+            placed = self._placed(job_id)
+            granted = sum(len(tasks) for tasks in job.grants.values())
+            waiting = left + max(0, granted - placed)
+            seconds = waiting * max(LEAST_RUN_S, self._estimates.run_time(job.spec))
+            work.running += placed
+            work.waiting += waiting
+            work.seconds += seconds
+            if not placed and wall - job.at > STARVED_S:
+                work.starved_seconds += seconds
+            if waiting and job.spec.cpus > work.largest.cpus:
+                work.largest = job.spec
+        return work
+
+    def _placed(self, job_id: JobId) -> int:
+        return sum(part.placed(job_id) for part in self._parts.values())
