--- a/src/dapplewick/core/part.py
+++ b/src/dapplewick/core/part.py
@@ -10,7 +10,6 @@
 import logging
 import math
 import random
-import statistics
 from collections.abc import Collection, Iterable, Iterator
 from typing import Any
 
@@ -21,7 +20,6 @@
     FINISHED,
     ON,
     RETURNED,
-    SLOW_SAMPLES,
     UNSURE,
     WAITING,
     Hold,
@@ -33,7 +31,10 @@
     Slot,
 )
 from dapplewick.core.part_status import Touched, full_status
-from dapplewick.protocol.wire import JobSpec, MachineType, Order, Report, TaskReport
+from dapplewick.core.preemption import stop_until_fits
+from dapplewick.core.replicas import ReplicaPlacement
+from dapplewick.core.speed import SpeedComparison
+from dapplewick.protocol.wire import JobSpec, Order, Report, TaskReport
 from dapplewick.storage.records import JobRecord, Mirror
 from dapplewick.tuning import Tuning
 from dapplewick.types import (
@@ -58,8 +59,6 @@
 FRESH_S = 6.0  # a machine silent for longer takes no new work
 GRACE_S = 5.0  # over a task's own saving time, when it is stopped in order
 RETRY_S = 2.0  # first pause after a failure, doubled with each further one
-SLOW_BY = 0.6  # above the other machines' mean logarithm of run time over expected
-SLOW_LEAST = 3  # machines to compare with
 OVERRUN = 0.2  # a task that ran on beyond its estimate is expected to go on for this share
 LOST_STARTS = 3  # reports in a row that miss what was sent, until no more is sent
 DEAF_SHARE = 0.95  # of a lease: a session that ends within this time of a report was not silent
@@ -69,11 +68,6 @@
 FAULTY = 4  # failures in a row, of different jobs, that make a machine suspect
 REPLICA_WAIT_S = 4.0  # and a replica sooner
 STEADY_S = 30.0  # a replica that ran for as long did not fail at once
-LAST_CALL_S = 6.0  # a replica is stopped so long before its machine is taken, wherever it can go
-FORCED_COST = 4.0  # seconds until what is stopped for a replica is gone, and what it loses
-MATE_COST, SPOT_COST, GPU_COST = 30.0, 20.0, 5.0  # seconds a better place for a replica is worth
-DRAIN_S = 75.0  # after this time with nothing but replicas a dear machine is emptied
-DRAIN_PRICE = 2.0  # dear: more than this times the cheapest that they fit
 STALL_S = 2.0  # a process that ticks later than this may have reports it has not read
 SLOW_TICK_S = 1.0  # what looks at all machines, holds and waiting singles is done this often
 
@@ -101,7 +95,6 @@
         self.estimates = estimates
         self.threshold = (tuning or Tuning()).threshold_s
         self._lease_s = lease_s
-        self._report_s = report_s
         # Since when silence counts: reports were refused before, or could not be read, or this
         # ownership had not begun.
         self.listening_since = now
@@ -115,7 +108,8 @@
         self.images = Images()
         self.later: list[TaskRef] = []
         self.done_gangs: dict[JobId, int] = {}
-        self._pace: dict[JobId, tuple[float, int]] = {}
+        self._speed = SpeedComparison()
+        self._replicas = ReplicaPlacement(self, report_s)
         self._unsure = False  # whether any single may be on a machine not yet heard
         self._slow_at = -1e9
         self._few = False  # whether few idle slots of the gangs' size are left
@@ -351,7 +345,7 @@
                 self.queues.loose.extend(ready)
         if now - self._slow_at >= SLOW_TICK_S:
             self._slow_at = now
-            self._compare_speed()
+            self._speed.update(self.machines.values())
             self.demand.update(now, wall)
             self.gang_demand.update(now)
             self._few = self.gang_demand.slots >= 0.5 and self._few_slots()
@@ -360,7 +354,8 @@
                     self._requeue_slots(machine)
             for job_id, hold in self.holds.items():
                 self._check_hold(now, job_id, hold)
-            self._drain_dear(now)
+            for machine in self._replicas.drain_dear(now, bool(self.queues.loose)):
+                self._note_usable(now, machine)
             if followed:
                 # In an outage nobody could give it to another part, and here it may still start.
                 self._return_long_waits(now)
@@ -423,30 +418,9 @@
         self.touched.machine(machine.id)
         self.dirty = True
 
-    def _used(self, machine: Machine) -> Size:
-        used = machine.used
-        if used is None:
-            cpus = gpus = ram = 0.0
-            for live in machine.live.values():
-                if live.stage != "exited":
-                    size = live.size
-                    cpus += size.cpus
-                    gpus += size.gpus
-                    ram += size.ram
-            for slot in machine.slots:
-                if slot.current is not None and slot.current not in machine.live:
-                    cpus += slot.size.cpus
-                    gpus += slot.size.gpus
-                    ram += slot.size.ram
-            used = machine.used = Size(cpus, gpus, ram)
-        return used
-
-    def free(self, machine: Machine) -> Size:
-        return machine.capacity.minus(self._used(machine))
-
     def _free_for(self, machine: Machine, spec: JobSpec) -> Size:
         """The free room that this work may use."""
-        free = self.free(machine)
+        free = machine.free()
         if spec.gpus > 0 or spec.daemon:
             return free
         reserve = self.demand.reserve(machine.capacity, free)
@@ -458,7 +432,7 @@
         """Whether no more idle slots are left here than are kept for gangs."""
         share = self.gang_demand.slots / max(1, len(self.mirror.parts))
         size = self.gang_demand.size
-        idle = sum(size.times_in(self.free(m)) for m in self.machines.values())
+        idle = sum(size.times_in(m.free()) for m in self.machines.values())
         return idle <= math.ceil(share)
 
     def _held_on(self, machine_id: MachineId) -> list[tuple[JobId, Hold, int]]:
@@ -654,32 +628,7 @@
         self.estimates.learn(spec.bundle, spec.estimate, ran)
         if single is None or spec.estimate <= 0.0:
             return
-        # Compared with the other tasks of the same job, whose owner's estimate is as wrong.
-        ratio = math.log(ran / spec.estimate)
-        mean, count = self._pace.get(task.job, (0.0, 0))
-        if count >= 2:
-            machine.lateness.append(max(-1.5, min(1.5, ratio - mean)))
-        self._pace[task.job] = (mean + (ratio - mean) / (count + 1), count + 1)
-        while len(self._pace) > 500:
-            del self._pace[next(iter(self._pace))]
-
-    def _compare_speed(self) -> None:
-        """Tasks that end first are the short ones, so later ones look late on any machine:
-        a machine is slow only beside the others, and not for good."""
-        means = {
-            m.id: sum(m.lateness) / SLOW_SAMPLES
-            for m in self.machines.values()
-            if len(m.lateness) == SLOW_SAMPLES
-        }
-        if len(means) <= SLOW_LEAST:
-            return
-        middle = statistics.median(means.values())
-        for machine_id, mean in means.items():
-            machine = self.machines[machine_id]
-            slow = mean > middle + SLOW_BY
-            if slow and not machine.slow:
-                log.info("event=machine_slow machine=%s", machine_id)
-            machine.slow = slow
+        self._speed.note(machine, task.job, ran, spec.estimate)
 
     def _remove_live(self, machine: Machine, task: TaskRef) -> None:
         if machine.live.pop(task, None) is not None:
@@ -749,7 +698,8 @@
 
     # The design's first point: joining, queues and stealing
 
-    def _allowed(self, spec: JobSpec, machine: Machine) -> bool:
+    def allowed(self, spec: JobSpec, machine: Machine) -> bool:
+        """Whether a job may use a machine of this type and kind, in this zone."""
         return (
             (spec.types is None or machine.type in spec.types)
             and (spec.spot or not machine.spot)
@@ -782,7 +732,7 @@
             if machines is None:
                 size = spec.size
                 machines = able[shape] = [
-                    m for m in usable if self._allowed(spec, m) and size.fits(m.capacity)
+                    m for m in usable if self.allowed(spec, m) and size.fits(m.capacity)
                 ]
             if not self._join(now, task, single, spec, machines):
                 stuck.add(shape)
@@ -846,7 +796,7 @@
         """A replica joins the idle slot where it will run soonest, away from the others of its
         service and from machines that may be taken; else, by its priority, one that work of
         lower priority is stopped for. It waits in no queue: a slot's tasks may take long."""
-        machine = self._place_for(now, spec, task.job, able)
+        machine = self._replicas.best_machine(now, spec, task.job, able)
         if machine is None:
             return False
         slot = Slot(machine.id)
@@ -855,111 +805,6 @@
         machine.idle_since = now
         return True
 
-    def _place_for(
-        self, now: Seconds, spec: JobSpec, job_id: JobId, able: Iterable[Machine]
-    ) -> Machine | None:
-        best: tuple[Seconds, Machine] | None = None
-        for machine in able:
-            room = self.free(machine)
-            held = self.held_size(machine.id)
-            if held is not NOTHING:
-                room = room.minus(held)
-            forced = not spec.size.fits(room)
-            if forced:
-                for live in machine.live.values():
-                    if self._gives_way(live, spec) or (live.stopped and live.stage != "exited"):
-                        room = room.plus(live.size)
-                if not spec.size.fits(room):
-                    continue
-            # What is stopped goes with one report, and the start comes with the next: that is
-            # sooner than an image.
-            cost = self._replica_cost(now, spec, job_id, machine) + FORCED_COST * forced
-            if best is None or cost < best[0]:
-                best = (cost, machine)
-        return best[1] if best is not None else None
-
-    def _gives_way(self, live: Live, spec: JobSpec) -> bool:
-        """Whether a task may be stopped for a replica."""
-        other = live.spec
-        return (
-            other is not None
-            and not other.gang
-            and not other.daemon
-            and other.rank < spec.rank
-            and live.stage != "exited"
-            and not live.stopped
-        )
-
-    def _replica_cost(
-        self, now: Seconds, spec: JobSpec, job_id: JobId, machine: Machine
-    ) -> Seconds:
-        """How long until it would run here, and what else speaks against it, in seconds."""
-        mates = sum(t.job == job_id for t in machine.live)
-        mates += sum(s.current is not None and s.current.job == job_id for s in machine.slots)
-        cost = MATE_COST * mates + SPOT_COST * machine.spot + GPU_COST * (machine.capacity.gpus > 0)
-        if spec.image not in machine.images:
-            kind = self.mirror.types.get(machine.type)
-            cost += spec.image_gb / max(0.01, kind.fetch_rate if kind is not None else 0.1)
-            cost += machine.fetches()
-        # Who reported long ago reports again soon; the start goes out in the answer.
-        cost += max(0.0, self._report_s - (now - machine.last))
-        return cost + 0.01 * self.free(machine).cpus
-
-    def replicas_there(self, machine: Machine) -> bool:
-        """Whether replicas of services, which are wanted elsewhere, are on this machine."""
-        return any(
-            live.spec is not None and live.spec.daemon and live.stage != "exited"
-            for live in machine.live.values()
-        )
-
-    def _moves(self, now: Seconds, machine: Machine, task: TaskRef, spec: JobSpec) -> bool:
-        """Whether a replica is to leave its machine now: one that goes, or is no good place,
-        as soon as another with its image has room, or at the last moment."""
-        if machine.notice is not None and machine.notice < LAST_CALL_S:
-            return True
-        if machine.notice is None and not machine.slow and not machine.drain:
-            return False
-        able = [
-            m
-            for m in self.machines.values()
-            if m is not machine and m.was_usable and self._allowed(spec, m)
-        ]
-        place = self._place_for(now, spec, task.job, able)
-        if place is None or not spec.size.fits(self.free(place)):
-            return False
-        # Without its image there it is away for longer: only for a notice, or in the end.
-        waited = machine.drain and now - machine.idle_since > 2.0 * DRAIN_S
-        return spec.image in place.images or machine.notice is not None or waited
-
-    def _drain_dear(self, now: Seconds) -> None:
-        """A dear machine on which nothing but replicas has been for long is emptied, if what
-        is there has room on others: they move, and it is returned."""
-        for machine in self.machines.values():
-            lives = [v for v in machine.live.values() if v.stage != "exited"]
-            if machine.drain:
-                # Emptied, it is idle and goes; work that could use it brings it back.
-                machine.drain = bool(lives) or not self.queues.loose
-                continue
-            if not lives or now - machine.idle_since < DRAIN_S or not machine.was_usable:
-                continue
-            specs = [v.spec for v in lives if v.spec is not None and v.spec.daemon]
-            if len(specs) < len(lives) or len(machine.slots) > len(lives):
-                continue
-            kind = self.mirror.types.get(machine.type)
-            prices = [
-                t.price for t in self.mirror.types.values() if all(_fits(s, t) for s in specs)
-            ]
-            if kind is None or not prices or kind.price <= DRAIN_PRICE * min(prices):
-                continue
-            others = [m for m in self.machines.values() if m is not machine and m.was_usable]
-            if all(
-                any(self._allowed(s, m) and s.size.fits(self.free(m)) for m in others)
-                for s in specs
-            ):
-                log.info("event=machine_drained machine=%s replicas=%d", machine.id, len(lives))
-                machine.drain = True
-                self._note_usable(now, machine)
-
     def _sample(self, spec: JobSpec, able: list[Machine]) -> list[Machine]:
         """Some machines to look at: of those with the image, and of all."""
         there = self.images.where(spec.image)
@@ -970,7 +815,7 @@
                 if (
                     machine is not None
                     and machine.was_usable
-                    and self._allowed(spec, machine)
+                    and self.allowed(spec, machine)
                     and spec.size.fits(machine.capacity)
                 ):
                     chosen.append(machine)
@@ -1006,7 +851,7 @@
     def _room_in(self, now: Seconds, machine: Machine) -> Seconds:
         """Estimated time until all that is held on a machine is idle."""
         need = self.held_size(machine.id)
-        room = self.free(machine)
+        room = machine.free()
         if need.fits(room):
             return 0.0
         ends = sorted(
@@ -1046,7 +891,7 @@
         cold: dict[JobId, None] = {}
         for job_id in jobs:
             job = self.mirror.jobs.get(job_id)
-            if job is None or not self._allowed(job.spec, machine):
+            if job is None or not self.allowed(job.spec, machine):
                 continue
             spec = job.spec
             if spec.daemon and any(t.job == job_id for t in machine.live):
@@ -1086,7 +931,7 @@
 
     def _launches(self, now: Seconds, machine: Machine) -> list[Order]:
         orders = self._gang_launches(now, machine)
-        if self.free(machine).cpus > 1e-6:
+        if machine.free().cpus > 1e-6:
             for slot in machine.slots:
                 if slot.current is None and slot.queue:
                     fitting = self._fitting(now, machine, dict.fromkeys(t.job for t in slot.queue))
@@ -1100,7 +945,7 @@
             task = slot.current
             if task is not None and task not in machine.live:
                 single = self._single(task)
-                if slot.endless and not NOTHING.fits(self.free(machine)):
+                if slot.endless and not NOTHING.fits(machine.free()):
                     kept.append(slot)  # what is stopped for it is not gone yet
                     continue
                 if single is not None and single.state == ASSIGNED:
@@ -1137,7 +982,7 @@
         """Room with a dry queue takes the last single of the part's longest queue."""
         queues = self.queues
         fitting: Iterable[JobId] = queues.waiting_jobs()
-        while self.free(machine).cpus > 1e-6:
+        while machine.free().cpus > 1e-6:
             fits = fitting = self._fitting(now, machine, fitting)
             if not fits:
                 return
@@ -1199,16 +1044,10 @@
             job = self.mirror.jobs.get(job_id)
             replica = job is not None and job.spec.daemon
             for index, single in singles.items():
-                if (
-                    replica
-                    and (
-                        single.state == WAITING
-                        and now - max(single.since, single.not_before) > REPLICA_WAIT_S
-                    )
-                ) or (
-                    single.state in (WAITING, ASSIGNED)
-                    and now - max(single.since, single.not_before) > (LONG_WAIT_S)
-                ):
+                if single.state not in (WAITING, ASSIGNED):
+                    continue
+                patience = REPLICA_WAIT_S if replica and single.state == WAITING else LONG_WAIT_S
+                if now - max(single.since, single.not_before) > patience:
                     self._give_back(job, TaskRef(job_id, TaskIndex(index)), single)
 
     def _give_back(self, job: JobRecord | None, task: TaskRef, single: Single) -> None:
@@ -1231,7 +1070,7 @@
             machine = self.machines.get(machine_id)
             if machine is None:
                 return
-            room = self.free(machine)
+            room = machine.free()
             # Slots are promised to gangs that are about to start, and to older holds.
             older = True
             for other_id, other in self._holds_on[machine_id].items():
@@ -1289,7 +1128,7 @@
                 wanted = single is not None and (
                     single.machine == machine.id or single.state == UNSURE
                 )
-            if spec.daemon and wanted and self._moves(now, machine, task, spec):
+            if spec.daemon and wanted and self._replicas.must_leave(now, machine, task.job, spec):
                 wanted = False
             orderly = spec.checkpoint > 0 and live.stage == "running"
             leaving = machine.notice is not None and orderly and not (spec.gang or spec.daemon)
@@ -1310,29 +1149,7 @@
             job = self.mirror.jobs.get(job_id)
             if not hold.preempt or hold.ready or job is None:
                 continue
-            room = self.free(machine)
-            for live in machine.live.values():
-                if live.stopped and live.stage != "exited":
-                    room = room.plus(live.size)
-            for task in stop:
-                room = room.plus(self._size(task))
-            need = self.held_size(machine.id)
-            victims = sorted(
-                (
-                    (spec.rank, -live.since, task)
-                    for task, live in machine.live.items()
-                    if live.stage != "exited" and not live.stopped and task not in stop
-                    for spec in [self._spec(task)]
-                    if spec is not None
-                    and not (spec.gang or spec.daemon)
-                    and spec.rank < job.spec.rank
-                ),
-            )
-            for _, _, task in victims:
-                if need.fits(room):
-                    break
-                room = room.plus(self._size(task))
-                stop.add(task)
+            stop_until_fits(machine, self.held_size(machine.id), job.spec.rank, stop)
         self._make_room(machine, stop)
         return stop
 
@@ -1347,21 +1164,9 @@
         ]
         if not waiting:
             return
-        rank = max(waiting, key=lambda s: s.rank)
-        room = self.free(machine)  # less than nothing: the replicas' slots are counted
-        for task, live in machine.live.items():
-            if task in stop or (live.stopped and live.stage != "exited"):
-                room = room.plus(live.size)
-        victims = sorted(
-            (live.spec.rank, -live.since, task)
-            for task, live in machine.live.items()
-            if live.spec is not None and task not in stop and self._gives_way(live, rank)
-        )
-        for _, _, task in victims:
-            if NOTHING.fits(room):
-                break
-            room = room.plus(self._size(task))
-            stop.add(task)
+        # Their slots are counted as taken, so less than nothing is free before the stops.
+        rank = max(spec.rank for spec in waiting)
+        stop_until_fits(machine, NOTHING, rank, stop)
 
     # What the leader is told
 
@@ -1437,7 +1242,3 @@
                 if live.stage == "running":
                     counts[task.job] = counts.get(task.job, 0) + 1
         yield from counts.items()
-
-
-def _fits(spec: JobSpec, kind: MachineType) -> bool:
-    return spec.size.fits(kind.size) and (spec.types is None or kind.name in spec.types)
--- a/src/dapplewick/core/part_state.py
+++ b/src/dapplewick/core/part_state.py
@@ -110,6 +110,38 @@
         self.used: Size | None = None  # what its tasks take; None: to be counted anew
         self.was_usable = False
 
+    def taken(self) -> Size:
+        """What its tasks take, and those that are about to start."""
+        if self.used is None:
+            self.used = self._count_taken()
+        return self.used
+
+    def _count_taken(self) -> Size:
+        cpus = gpus = ram = 0.0
+        for live in self.live.values():
+            if live.stage != "exited":
+                size = live.size
+                cpus += size.cpus
+                gpus += size.gpus
+                ram += size.ram
+        for slot in self.slots:
+            if slot.current is not None and slot.current not in self.live:
+                cpus += slot.size.cpus
+                gpus += slot.size.gpus
+                ram += slot.size.ram
+        return Size(cpus, gpus, ram)
+
+    def free(self) -> Size:
+        """The free capacity."""
+        return self.capacity.minus(self.taken())
+
+    def has_replicas(self) -> bool:
+        """Whether replicas of services, which are wanted elsewhere, are here."""
+        return any(
+            live.spec is not None and live.spec.daemon and live.stage != "exited"
+            for live in self.live.values()
+        )
+
     def fetches(self) -> int:
         """How many images are being fetched, or will be: they may share the rate of one."""
         images = {
--- a/src/dapplewick/core/part_status.py
+++ b/src/dapplewick/core/part_status.py
@@ -80,7 +80,7 @@
         quiet = now - max(m.settled, core.listening_since)
         if quiet > QUIET_S:
             # Replicas can start elsewhere only once it is gone: it is waited for less.
-            hasty = core.cancelled_there(m) or core.replicas_there(m)
+            hasty = core.cancelled_there(m) or m.has_replicas()
             silent[m.id] = (round(quiet, 1), hasty)
         if record.up and not record.doomed and (heard_ago < 0.0 or quiet < heard_ago):
             heard_ago = quiet
@@ -119,7 +119,7 @@
     ]
     ends.sort()
     return {
-        "free": tuple(core.free(machine).minus(core.held_size(machine.id))),
+        "free": tuple(machine.free().minus(core.held_size(machine.id))),
         "ends": ends,
         "images": list(machine.images),
         "queued": sum(len(s.queue) for s in machine.slots),
--- /dev/null
+++ b/src/dapplewick/core/replicas.py
@@ -0,0 +1,144 @@
+"""Where replicas of services go, and when they leave their machine.
+
+A replica is a single of its priority that is not expected to end. It waits in no queue, since the
+tasks of a slot may take long.
+"""
+
+from __future__ import annotations
+
+import logging
+from collections.abc import Iterable, Iterator
+from typing import Protocol
+
+from dapplewick.core.part_state import Machine
+from dapplewick.core.preemption import leaves, may_be_stopped
+from dapplewick.protocol.wire import JobSpec, MachineType
+from dapplewick.storage.records import Mirror
+from dapplewick.types import NOTHING, JobId, MachineId, Seconds, Size
+
+log = logging.getLogger("dapplewick.part")
+
+LAST_CALL_S = 6.0  # a replica is stopped so long before its machine is taken, wherever it can go
+STOP_COST_S = 4.0  # until what is stopped for a replica is gone, and what it loses
+# What a better place is worth, in seconds until the replica runs: away from the others of its
+# service, from machines that may be taken, and from accelerators.
+SAME_SERVICE_COST_S, SPOT_COST_S, ACCELERATOR_COST_S = 30.0, 20.0, 5.0
+CPU_COST_S = 0.01  # and for each free CPU: small rooms are filled first
+DRAIN_S = 75.0  # after this time with nothing but replicas a dear machine is emptied
+DRAIN_PRICE = 2.0  # dear: more than this times the cheapest that they fit
+LEAST_FETCH_RATE = 0.01
+
+
+class Part(Protocol):
+    """What is to be known of the part that the replicas are in."""
+
+    machines: dict[MachineId, Machine]
+    mirror: Mirror
+
+    def allowed(self, spec: JobSpec, machine: Machine) -> bool: ...
+
+    def held_size(self, machine_id: MachineId) -> Size: ...
+
+
+class ReplicaPlacement:
+    """Chooses places for replicas among a part's machines."""
+
+    def __init__(self, part: Part, report_s: Seconds) -> None:
+        self._part = part
+        self._report_s = report_s
+
+    def best_machine(
+        self, now: Seconds, spec: JobSpec, job_id: JobId, able: Iterable[Machine]
+    ) -> Machine | None:
+        """The machine on which a replica will run soonest, with room or with work of lower
+        priority to stop."""
+        best: tuple[Seconds, Machine] | None = None
+        for machine in able:
+            room = machine.free()
+            held = self._part.held_size(machine.id)
+            if held is not NOTHING:
+                room = room.minus(held)
+            forced = not spec.size.fits(room)
+            if forced and not spec.size.fits(self._room_with_stops(machine, room, spec.rank)):
+                continue
+            # What is stopped goes with one report, and the start comes with the next: that is
+            # sooner than an image.
+            cost = self._cost(now, spec, job_id, machine) + STOP_COST_S * forced
+            if best is None or cost < best[0]:
+                best = (cost, machine)
+        return best[1] if best is not None else None
+
+    @staticmethod
+    def _room_with_stops(machine: Machine, room: Size, rank: int) -> Size:
+        for task, live in machine.live.items():
+            if may_be_stopped(live, rank) or leaves(task, live, set()):
+                room = room.plus(live.size)
+        return room
+
+    def _cost(self, now: Seconds, spec: JobSpec, job_id: JobId, machine: Machine) -> Seconds:
+        """How long until it would run here, and what else speaks against it, in seconds."""
+        same = sum(task.job == job_id for task in machine.live)
+        same += sum(s.current is not None and s.current.job == job_id for s in machine.slots)
+        cost = SAME_SERVICE_COST_S * same + SPOT_COST_S * machine.spot
+        cost += ACCELERATOR_COST_S * (machine.capacity.gpus > 0)
+        if spec.image not in machine.images:
+            kind = self._part.mirror.types.get(machine.type)
+            rate = kind.fetch_rate if kind is not None else 0.1
+            cost += spec.image_gb / max(LEAST_FETCH_RATE, rate)
+            cost += machine.fetches()
+        # Who reported long ago reports again soon; the start goes out in the answer.
+        cost += max(0.0, self._report_s - (now - machine.last))
+        return cost + CPU_COST_S * machine.free().cpus
+
+    def must_leave(self, now: Seconds, machine: Machine, job_id: JobId, spec: JobSpec) -> bool:
+        """Whether a replica is to leave its machine now: one that goes, or is no good place, as
+        soon as another with its image has room, or at the last moment."""
+        if machine.notice is not None and machine.notice < LAST_CALL_S:
+            return True
+        if machine.notice is None and not machine.slow and not machine.drain:
+            return False
+        able = (m for m in self._others(machine) if self._part.allowed(spec, m))
+        place = self.best_machine(now, spec, job_id, able)
+        if place is None or not spec.size.fits(place.free()):
+            return False
+        # Without its image there it is away for longer: only for a notice, or in the end.
+        waited = machine.drain and now - machine.idle_since > 2.0 * DRAIN_S
+        return spec.image in place.images or machine.notice is not None or waited
+
+    def _others(self, machine: Machine) -> list[Machine]:
+        return [m for m in self._part.machines.values() if m is not machine and m.was_usable]
+
+    def drain_dear(self, now: Seconds, work_waits: bool) -> Iterator[Machine]:
+        """Mark dear machines on which nothing but replicas has been for long, if what is there
+        has room on others: they move, and it is returned. Gives those that are newly marked.
+        Work that could use a machine brings it back once it is empty."""
+        for machine in self._part.machines.values():
+            lives = [live for live in machine.live.values() if live.stage != "exited"]
+            if machine.drain:
+                machine.drain = bool(lives) or not work_waits
+                continue
+            if not lives or now - machine.idle_since < DRAIN_S or not machine.was_usable:
+                continue
+            specs = [v.spec for v in lives if v.spec is not None and v.spec.daemon]
+            if len(specs) < len(lives) or len(machine.slots) > len(lives):
+                continue
+            if self._is_dear(machine, specs) and self._have_room(self._others(machine), specs):
+                log.info("event=machine_drained machine=%s replicas=%d", machine.id, len(lives))
+                machine.drain = True
+                yield machine
+
+    def _is_dear(self, machine: Machine, specs: list[JobSpec]) -> bool:
+        """Whether a machine costs much more than the cheapest on which all of this fits."""
+        types = self._part.mirror.types
+        kind = types.get(machine.type)
+        prices = [t.price for t in types.values() if all(_fits(spec, t) for spec in specs)]
+        return kind is not None and bool(prices) and kind.price > DRAIN_PRICE * min(prices)
+
+    def _have_room(self, machines: list[Machine], specs: list[JobSpec]) -> bool:
+        return all(
+            any(self._part.allowed(s, m) and s.size.fits(m.free()) for m in machines) for s in specs
+        )
+
+
+def _fits(spec: JobSpec, kind: MachineType) -> bool:
+    return spec.size.fits(kind.size) and (spec.types is None or kind.name in spec.types)
--- /dev/null
+++ b/src/dapplewick/core/speed.py
@@ -0,0 +1,59 @@
+"""Which machines run their tasks much slower than the others of their part."""
+
+from __future__ import annotations
+
+import logging
+import math
+import statistics
+from collections.abc import Collection
+
+from dapplewick.core.part_state import SLOW_SAMPLES, Machine
+from dapplewick.types import JobId, Seconds
+
+log = logging.getLogger("dapplewick.part")
+
+SLOW_LOGARITHM = 0.6  # above the other machines' mean logarithm of run time over expected
+LEAST_MACHINES = 3  # to compare with
+LEAST_TASKS = 2  # of a job, before the others are compared with their mean
+MOST_RATIO = 1.5  # of one task's logarithm: a single outlier says little
+JOBS_REMEMBERED = 500
+
+
+class SpeedComparison:
+    """Compares tasks with others of the same job, whose owner's estimate is as wrong."""
+
+    def __init__(self) -> None:
+        self._means: dict[JobId, tuple[float, int]] = {}  # of the logarithms, and their count
+
+    def note(self, machine: Machine, job_id: JobId, ran: Seconds, estimate: Seconds) -> None:
+        """A task of this job ran so long on a machine."""
+        ratio = math.log(ran / estimate)
+        mean, count = self._means.get(job_id, (0.0, 0))
+        if count >= LEAST_TASKS:
+            machine.lateness.append(max(-MOST_RATIO, min(MOST_RATIO, ratio - mean)))
+        self._means[job_id] = (mean + (ratio - mean) / (count + 1), count + 1)
+        while len(self._means) > JOBS_REMEMBERED:
+            del self._means[next(iter(self._means))]
+
+    def update(self, machines: Collection[Machine]) -> None:
+        """Say of each machine whether it is slow.
+
+        Tasks that end first are the short ones, so later ones look late on any machine: a machine
+        is slow only beside the others, and not for good.
+        """
+        compared = {
+            machine.id: sum(machine.lateness) / SLOW_SAMPLES
+            for machine in machines
+            if len(machine.lateness) == SLOW_SAMPLES
+        }
+        if len(compared) <= LEAST_MACHINES:
+            return
+        middle = statistics.median(compared.values())
+        for machine in machines:
+            mean = compared.get(machine.id)
+            if mean is None:
+                continue
+            slow = mean > middle + SLOW_LOGARITHM
+            if slow and not machine.slow:
+                log.info("event=machine_slow machine=%s", machine.id)
+            machine.slow = slow
