--- a/tests/rolls.py
+++ b/tests/rolls.py
@@ -2,9 +2,10 @@
 
 from __future__ import annotations
 
-from collections.abc import Awaitable, Callable
+from collections.abc import Callable, Coroutine
 from dataclasses import dataclass, field
 from types import SimpleNamespace
+from typing import Any
 
 import anyio
 
@@ -13,7 +14,7 @@
 from test_days import run_script
 from test_meetings import leader
 
-Trouble = Callable[[World], Awaitable[None]]
+Trouble = Callable[[World], Coroutine[Any, Any, None]]
 
 
 async def nothing(world: World) -> None:
--- a/tests/standins.py
+++ b/tests/standins.py
@@ -376,7 +376,7 @@
             await anyio.sleep(within)
             raise self.errors.HttpError("timeout")
         with anyio.move_on_after(within):
-            answer = await self.service.answer(method, target, body)
+            answer: tuple[int, bytes] = await self.service.answer(method, target, body)
             if "/changes" in target and self.world.mode(self.node, self.service) == "refused":
                 # The open watch of a node that alone is refused waits as in an outage.
                 await anyio.sleep(within)
@@ -404,7 +404,8 @@
                 return None
             await anyio.sleep(0.005)
             answer = await node.on_request(cbor2.loads(cbor2.dumps(message)))
-            return cbor2.loads(cbor2.dumps(answer))
+            said: dict[str, Any] | None = cbor2.loads(cbor2.dumps(answer))
+            return said
         return None
 
     async def run(self) -> None:
@@ -498,8 +499,8 @@
             return following
         said = json.loads(answer.body)
         if answer.status == 421:
-            owner = said.get("foreman")
-            if owner in names and owner != target:
+            owner: str | None = said.get("foreman")
+            if owner is not None and owner in names and owner != target:
                 await anyio.sleep(self.world.random.random() * 0.5)
                 return owner
             await anyio.sleep(1.0)
@@ -804,7 +805,7 @@
             and p.attempt == attempt
             and (p.stage in ("gathering", "running") or p.cause == "done")
         }
-        return len(there) == self.jobs[job_id]["pieces"]
+        return bool(len(there) == self.jobs[job_id]["pieces"])
 
     def finish(self, job_id: str, attempt: int) -> None:
         """The tasks of a gang complete together: if one is done, all are."""
--- a/tests/test_compound_failures.py
+++ b/tests/test_compound_failures.py
@@ -16,7 +16,7 @@
 
 import dapplewick
 from dapplewick.core.part import PartCore
-from dapplewick.transport.http import HttpClient
+from dapplewick.transport.http import HttpClient, Request
 from day_checks import Onlooker, ask, end_of_day
 from standins import NEXT, World, now
 from test_checks_can_fail import (
@@ -151,7 +151,8 @@
     hand_in(world, 16, pieces=8, cpus=2.0, true_s=11.0)
     for _ in range(4):
         await anyio.sleep(8)
-        world.kept_reports = copies = []
+        copies: list[Request] = []
+        world.kept_reports = copies
         await anyio.sleep(4)
         world.kept_reports = None
         await anyio.sleep(6)
--- a/tests/test_days.py
+++ b/tests/test_days.py
@@ -4,7 +4,8 @@
 
 import asyncio
 import json
-from collections.abc import Awaitable, Callable
+from collections.abc import Callable, Coroutine
+from typing import Any
 
 import anyio
 import pytest
@@ -12,7 +13,7 @@
 from dapplewick.transport.http import Request
 from standins import World, now, run_day, zone_of
 
-Fault = Callable[[World], Awaitable[None]]
+Fault = Callable[[World], Coroutine[Any, Any, None]]
 
 
 def owners(world: World) -> list[str]:
@@ -295,7 +296,9 @@
     return world
 
 
-def run_script(world: World, length: float, script: Callable[[], Awaitable[None]]) -> None:
+def run_script(
+    world: World, length: float, script: Callable[[], Coroutine[Any, Any, None]]
+) -> None:
     """Play a day with a script beside it, in virtual time."""
 
     async def main() -> None:
--- a/tests/test_four_points.py
+++ b/tests/test_four_points.py
@@ -223,7 +223,7 @@
 def plain_largest_first(gangs: list[tuple[int, float]], idle: int) -> list[int]:
     """Place the largest fitting gang, the oldest among equals, until none fits."""
     left = dict(enumerate(gangs))
-    order = []
+    order: list[int] = []
     while True:
         fitting = [n for n, (tasks, _) in left.items() if tasks <= idle]
         if not fitting:
--- a/tests/test_growth.py
+++ b/tests/test_growth.py
@@ -145,12 +145,12 @@
     mirror.changed_machines.clear()
     mirror.put("dw/m/r-1", group | {"machines": {"vm-1": "u", "vm-2": "b101"}}, 3)
     assert mirror.changed_machines == ["vm-1"]
-    assert mirror.machines["vm-2"].at == 101.0
-    assert mirror.machines["vm-1"].up and not mirror.machines["vm-2"].up
+    assert mirror.machines[MachineId("vm-2")].at == 101.0
+    assert mirror.machines[MachineId("vm-1")].up and not mirror.machines[MachineId("vm-2")].up
     mirror.changed_machines.clear()
     mirror.put("dw/m/r-1", group | {"machines": {"vm-2": "d"}}, 4)
     assert mirror.changed_machines == ["vm-1", "vm-2"]
-    assert "vm-1" not in mirror.machines and mirror.machines["vm-2"].doomed
+    assert "vm-1" not in mirror.machines and mirror.machines[MachineId("vm-2")].doomed
     mirror.remove("dw/m/r-1", 5)
     assert not mirror.machines and not mirror.group_of
 
--- a/tests/test_meetings.py
+++ b/tests/test_meetings.py
@@ -6,7 +6,7 @@
 from __future__ import annotations
 
 import json
-from collections.abc import Awaitable, Callable
+from collections.abc import Callable, Coroutine
 from typing import Any
 
 import anyio
@@ -40,7 +40,7 @@
     zone_cut,
 )  # fmt: skip
 
-Script = Callable[[World], Awaitable[None]]
+Script = Callable[[World], Coroutine[Any, Any, None]]
 Patch = Callable[[pytest.MonkeyPatch], None]
 
 
@@ -605,7 +605,10 @@
     """Jobs bound to one zone, arrays too, lose all machines of it."""
     await anyio.sleep(3)
     for n in range(9):
-        place = [{"yard": "a"}, {"same_place": True}, {"same_place": True, "yard": "b"}][n % 3]
+        places: list[dict[str, Any]] = [
+            {"yard": "a"}, {"same_place": True}, {"same_place": True, "yard": "b"}
+        ]  # fmt: skip
+        place = places[n % 3]
         body = world.job(
             name_id=f"run-{n:06d}", pieces=3, cpus=4.0, true_s=30.0,
             shape="group" if n % 2 else "sweep", **place,
--- a/tests/test_services.py
+++ b/tests/test_services.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import json
-from collections.abc import Awaitable, Callable
+from collections.abc import Callable, Coroutine
 from itertools import pairwise
 from typing import Any
 
@@ -38,7 +38,7 @@
 from test_four_points import TOKEN, ZONE, Bench, spec, starts
 from test_meetings import call, finished
 
-Script = Callable[[World], Awaitable[None]]
+Script = Callable[[World], Coroutine[Any, Any, None]]
 
 
 def service(replicas: int, cpus: float = 1.0, rank: int = 3) -> JobSpec:
--- a/tests/test_sockets.py
+++ b/tests/test_sockets.py
@@ -173,8 +173,8 @@
         gang = world.job(name_id="run-000002", true_s=1.0, pieces=2, shape="group")
         ended = world.job(name_id="run-000003", true_s=60.0, pieces=2)
         async with anyio.create_task_group() as users:
-            for body, cancel in ((array, None), (gang, None), (ended, 3.0)):
-                users.start_soon(world.user, body["name_id"], body, cancel)
+            for job, cancel in ((array, None), (gang, None), (ended, 3.0)):
+                users.start_soon(world.user, job["name_id"], job, cancel)
             await anyio.sleep(1.5)
             world.crash("n1")
             await anyio.sleep(0.3)
@@ -240,12 +240,12 @@
 
         listener = await anyio.create_tcp_listener(local_host="127.0.0.1", local_port=0)
         port = listener.extra(anyio.abc.SocketAttribute.local_port)
-        accept, failures = listen.accept, [OSError(24, "no sockets"), OSError(104, "reset")]
+        take, failures = accept, [OSError(24, "no sockets"), OSError(104, "reset")]
 
         async def unsteady(inner: anyio.abc.SocketListener) -> Any:
             if failures:
                 raise failures.pop()
-            return await accept(inner)
+            return await take(inner)
 
         monkeypatch.setattr(listen, "accept", unsteady)
 
@@ -290,7 +290,9 @@
         client = await anyio.connect_tcp(
             "127.0.0.1", listener.extra(anyio.abc.SocketAttribute.local_port)
         )
-        stream = await accept(listener.listeners[0])
+        inner = listener.listeners[0]
+        assert isinstance(inner, anyio.abc.SocketListener)
+        stream = await accept(inner)
         size = 32 * MOST_READ
         with anyio.fail_after(20):
             async with anyio.create_task_group() as group:
--- a/tests/test_upgrade.py
+++ b/tests/test_upgrade.py
@@ -10,6 +10,7 @@
 from typing import Any
 
 import anyio
+import msgspec
 import pytest
 
 import production
@@ -379,7 +380,8 @@
     mirror = Mirror()
     job = JobRecord(spec(5, 1.0, 10.0), 0.0)
     mirror.put(JOBS + "run-1", job.dump() | {"unknown": 1}, 1)
-    for version, value in enumerate([{}, [], None, 7, {"done": 5}, {"version": "x"}], start=2):
+    values: list[Any] = [{}, [], None, 7, {"done": 5}, {"version": "x"}]
+    for version, value in enumerate(values, start=2):
         mirror.put(key, value, version)
         mirror.remove(key, version)
     assert mirror.jobs["run-1"].open and mirror.format == FIRST_FORMAT  # type: ignore[index]
@@ -395,7 +397,7 @@
     ],
 )
 def test_malformed_later_limits_name_their_field(later: Any, complaint: str) -> None:
-    value = json.loads(config.msgspec.json.encode(settings("n0")))
+    value = json.loads(msgspec.json.encode(settings("n0")))
     value["deployment"]["state"]["next"] = later
     with pytest.raises(config.SettingsError, match=complaint):
         config.parse(json.dumps(value).encode())
@@ -403,7 +405,7 @@
 
 @pytest.mark.parametrize("later", [None, {}, {"txn_ops": 3}, {"value_kb": 99.0, "new": 1}])
 def test_later_limits_may_be_absent_or_partial(later: Any) -> None:
-    value = json.loads(config.msgspec.json.encode(settings("n0")))
+    value = json.loads(msgspec.json.encode(settings("n0")))
     value["deployment"]["state"]["next"] = later
     lowest = config.parse(json.dumps(value).encode()).deployment.state.lowest()
     assert lowest.txn_ops == (3 if later and "txn_ops" in later else 12)
