Leader and parts: what a reading found twice or on hot paths

A gang's place is measured once an attempt, not in each pass; whether a removed machine's replicas are to join is asked of the machine, not of all loose singles; ranks of writes, counts of placed singles and the lowering of limits in tests stand once.

--- a/src/dapplewick/core/job_writes.py
+++ b/src/dapplewick/core/job_writes.py
@@ -46,6 +46,7 @@
         self._value_bytes = value_bytes
         self._converting: set[JobId] = set()
         self._outgrows: dict[JobId, bool] = {}
+        self._fitting_places: dict[JobId, int] = {}  # attempts whose place fits in the record
         self._stored_at: dict[JobId, Seconds] = {}
 
     def written(self, now: Seconds, job_id: JobId) -> None:
@@ -120,8 +121,12 @@
             gang = job.gang
             if gang is None or gang.shares or len(gang.places) < MANY_PLACES:
                 continue
+            if self._fitting_places.get(job_id) == gang.attempt:
+                continue
             if size_of(job.dump()) > self._value_bytes:
                 yield job_id
+            else:
+                self._fitting_places[job_id] = gang.attempt
 
     def convert(self) -> list[Change]:
         """Cut arrays whose records may outgrow a value into chunks, a few writes at a time.
--- a/src/dapplewick/core/leader.py
+++ b/src/dapplewick/core/leader.py
@@ -17,7 +17,13 @@
 from dapplewick.core.demand import AcceleratorDemand, GangDemand
 from dapplewick.core.estimates import Estimates
 from dapplewick.core.fleet import Fleet, Need
-from dapplewick.core.job_writes import RANK_GRANTS, JobWrites
+from dapplewick.core.job_writes import (
+    RANK_CLEARED,
+    RANK_ENDS,
+    RANK_GRANTS,
+    RANK_PROGRESS,
+    JobWrites,
+)
 from dapplewick.core.machines import Change, MachineBook, Silence
 from dapplewick.core.model import GANG_RANK, PartRooms, view_of
 from dapplewick.core.needs import NeedPlanner, Waiting
@@ -257,7 +263,7 @@
             for job_id in part.fresh["clear"]:
                 old = self.mirror.jobs.get(job_id)
                 if old is not None and not old.open and part.zone in old.grants:
-                    self._edit(job_id, 2).grants.pop(part.zone, None)
+                    self._edit(job_id, RANK_CLEARED).grants.pop(part.zone, None)
         self._absorb_gangs(now)
 
     def _absorb_singles(self, part: PartView) -> None:
@@ -277,13 +283,13 @@
             returned = body["returned"] if body["version"] == old.version else []
             if not done and not returned:
                 continue
-            job = self._edit(job_id, 1 if returned else 3)
+            job = self._edit(job_id, RANK_GRANTS if returned else RANK_PROGRESS)
             job.done.update(done)
             job.grants[zone] = job.granted(zone).difference(done, returned)
             if not job.grants[zone]:
                 del job.grants[zone]
             if len(job.done) == job.spec.tasks:
-                self._edit(job_id, 0)
+                self._edit(job_id, RANK_ENDS)
                 job.stage = DONE
                 job.grants = {}
                 log.info("event=job_done job=%s", job_id)
@@ -312,20 +318,22 @@
                     state = said if attempt == gang.attempt else "unknown"
                 states.append(state)
             if old.open and "done" in states:
-                job = self._edit(job_id, 0)
+                job = self._edit(job_id, RANK_ENDS)
                 job.stage, job.done, job.gang, job.grants = DONE, set(), None, {}
                 log.info("event=job_done job=%s", job_id)
             elif (gang.over or not old.open) and all(s == "clear" for s in states):
-                self._edit(job_id, 1).gang = None
+                self._edit(job_id, RANK_GRANTS).gang = None
             elif old.open and not gang.over and "bad" in states:
                 log.info("event=gang_over job=%s attempt=%d", job_id, gang.attempt)
-                self._edit(job_id, 1).gang = msgspec.structs.replace(gang, over=True)
+                self._edit(job_id, RANK_GRANTS).gang = msgspec.structs.replace(gang, over=True)
             elif "held" in states and not gang.preempt and old.spec.rank > lowest:
                 # Its slots were to be idle soon by estimates that were too low.
                 held[job_id] = self._held_since.get(job_id, now)
                 if now - held[job_id] > self.tuning.patience_s:
                     log.info("event=gang_hurried job=%s attempt=%d", job_id, gang.attempt)
-                    self._edit(job_id, 1).gang = msgspec.structs.replace(gang, preempt=True)
+                    self._edit(job_id, RANK_GRANTS).gang = msgspec.structs.replace(
+                        gang, preempt=True
+                    )
         self._held_since = held
 
     def _usage(self) -> dict[str, Size]:
@@ -398,8 +406,7 @@
             for zone_name, tasks in job.grants.items():
                 if zone_name not in by_zone:
                     continue
-                told = self.parts[Zone(zone_name)].jobs.get(job_id)
-                backlog = len(tasks) - (told["placed"] if told is not None else 0)
+                backlog = len(tasks) - self.parts[Zone(zone_name)].placed(job_id)
                 if backlog > 0:
                     by_zone[zone_name].take_most(job.spec, backlog)
         return rooms
@@ -477,7 +484,7 @@
             self._counter += 1
             attempt = self.epoch * PER_TOKEN + self._counter
             places = [(str(v.zone), str(v.id)) for v in chosen]
-            self._edit(job_id, 1).gang = GangPlace(attempt, places, preempt=preempt)
+            self._edit(job_id, RANK_GRANTS).gang = GangPlace(attempt, places, preempt=preempt)
             log.info(
                 "event=gang_placed job=%s attempt=%d machines=%s preempt=%s",
                 job_id, attempt, ",".join(m for _, m in places), preempt,
@@ -595,7 +602,7 @@
                 if not total:
                     continue
                 tasks = self._next_tasks(job_id, job, total)
-                draft = self._edit(job_id, 1)
+                draft = self._edit(job_id, RANK_GRANTS)
                 for zone, share in shares.items():
                     mine, tasks = tasks[:share], tasks[share:]
                     draft.grants[zone] = draft.granted(zone) | set(mine)
@@ -622,15 +629,14 @@
     def _queue_room(self, rooms: list[PartRooms]) -> dict[Zone, int]:
         room = {}
         for part in rooms:
-            said = self.parts[part.zone].jobs
+            said = self.parts[part.zone]
             running = sum(view.singles for view in part.views)
             waiting = 0
             for job_id in self.mirror.live_jobs:
                 job = self._job(job_id)
                 granted = job.grants.get(part.zone)
                 if granted and not job.spec.daemon:
-                    body = said.get(job_id)
-                    waiting += max(0, len(granted) - (body["placed"] if body is not None else 0))
+                    waiting += max(0, len(granted) - said.placed(job_id))
             room[part.zone] = max(0, int(QUEUE_LEAST + QUEUE_SHARE * running) - waiting)
         return room
 
--- a/src/dapplewick/core/part.py
+++ b/src/dapplewick/core/part.py
@@ -224,7 +224,9 @@
             return
         self.unheard.discard(machine_id)
         machine = self.machines.pop(machine_id, None)
+        had_replicas = False
         if machine is not None:
+            had_replicas = machine.has_replicas() or any(s.endless for s in machine.slots)
             self.images.clear(machine)
             self._requeue_slots(machine)
             for task in list(machine.live):
@@ -235,13 +237,9 @@
                 log.info("event=gang_broken job=%s reason=machine_gone", job_id)
         self._settle_unsure(now)
         self.dirty = True
-        if any(self._is_replica(task) for task in self.queues.loose):
+        if had_replicas:
             self._join_all(now)  # not only with the next tick: users wait for them
 
-    def _is_replica(self, task: TaskRef) -> bool:
-        spec = self._spec(task)
-        return spec is not None and spec.daemon
-
     def refuse(self, now: Seconds) -> None:
         """Reports are refused now: that machines are not heard says nothing of them."""
         self.listening_since = now
--- a/src/dapplewick/node.py
+++ b/src/dapplewick/node.py
@@ -17,6 +17,7 @@
 from dapplewick.coordination.cancellations import CancellationWatch
 from dapplewick.coordination.parts import PartAssigner
 from dapplewick.core.estimates import Estimates
+from dapplewick.core.job_writes import RANK_PROGRESS
 from dapplewick.core.leader import LeaderCore
 from dapplewick.core.machines import Change
 from dapplewick.core.part import PartCore
@@ -81,7 +82,6 @@
 LEADER_WRITES = 0.8  # of them the leader's share
 LEAST_BURST = 6.0  # users come at once, so each node may accept some at once
 WATCH_SHARE = 0.35  # of this node's requests: a watch is opened anew after each change
-PROGRESS_RANK = 3  # of changes that only a restart needs
 PROGRESS_RESERVE = 0.3  # of a second's writes are left by them for what users wait for
 PULSE_S = 0.25
 BEHIND_S = 1.0  # a node that is later than this with what is due takes nothing from users
@@ -464,7 +464,7 @@
         level = self.state.writes.level()
         room = int(level)
         # What users wait for, and what ends tasks, goes before what is only kept for a restart.
-        least = sum(c.rank < PROGRESS_RANK for c in changes)
+        least = sum(c.rank < RANK_PROGRESS for c in changes)
         room = min(room, max(least, int(level - PROGRESS_RESERVE * self.state.writes.rate)))
         if room < len(changes):
             log.debug("event=writes_put_off count=%d", len(changes) - room)
--- a/tests/test_compound_failures.py
+++ b/tests/test_compound_failures.py
@@ -18,7 +18,8 @@
 from dapplewick.core.part import PartCore
 from dapplewick.transport.http import HttpClient, Request
 from day_checks import Onlooker, ask, end_of_day
-from standins import NEXT, World, now
+from rolls import lower_limits
+from standins import World, now
 from test_checks_can_fail import (
     no_check_that_the_mirror_is_current,
     no_stop_of_cancelled_tasks,
@@ -317,7 +318,7 @@
         ended.append(now() - begun)
 
     async def script() -> None:
-        world.state.lowered, world.state.rate = True, float(NEXT["write_rps"])
+        lower_limits(world)
         await anyio.sleep(3)
         for number in range(480):
             world.group.start_soon(user, number)
--- a/tests/test_upgrade.py
+++ b/tests/test_upgrade.py
@@ -35,7 +35,7 @@
 )
 from dapplewick.transport.http import Request
 from dapplewick.types import JobId, Token
-from rolls import TROUBLES, Trouble, hand_in_large, nothing, play_roll
+from rolls import TROUBLES, Trouble, hand_in_large, lower_limits, nothing, play_roll
 from standins import NEXT, World, now, settings
 from test_days import (
     cut_from_state,
@@ -174,7 +174,7 @@
     """Grants move between parts, tasks end in no order, some jobs are cancelled, and the limits
     are the lower ones from the start."""
     world = World(seed)
-    world.state.lowered, world.state.rate = True, float(NEXT["write_rps"])
+    lower_limits(world)
 
     async def script() -> None:
         await anyio.sleep(3)
@@ -216,7 +216,7 @@
         while FORMAT not in world.state.keys:
             await anyio.sleep(0.05)
         await anyio.sleep(world.random.uniform(0.0, 2.5))
-        world.state.lowered, world.state.rate = True, float(NEXT["write_rps"])
+        lower_limits(world)
         if seed % 2:
             await anyio.sleep(world.random.uniform(0.0, 1.0))
             name = leader(world)
