Tests: a repeated submission is told queued after its job was cancelled or done (fails)

All questions of the stand-ins' users now pass one checker (standins/answers.py): submissions, polls and cancellations, with what was known when the question was put.

--- /dev/null
+++ b/tests/answer_days.py
@@ -0,0 +1,229 @@
+"""Drawn days on which many users ask all controllers about short jobs while troubles meet.
+
+`python tests/answer_days.py FIRST LAST [SIZE]` plays a range of seeds and prints what broke;
+the test suite plays a fixed few of them.
+"""
+
+from __future__ import annotations
+
+import json
+import logging
+import sys
+from collections.abc import Callable, Coroutine
+from typing import Any
+
+import anyio
+
+from dapplewick.transport.http import Request
+from standins import World, now, run_day
+
+POLL_WAIT_S, CHANGE_WAIT_S = 2.0, 5.0  # how long users wait for an answer
+LENGTH_S = 100.0
+TROUBLES_UNTIL_S = 80.0
+CONTROLLERS = 4
+
+Trouble = Callable[[World, str], Coroutine[Any, Any, None]]
+
+
+def _leader_or(world: World, name: str) -> str:
+    record = world.state.keys.get("dw/leader")
+    if record is None or world.random.random() < 0.5:
+        return name
+    return str(record[0]["node"])
+
+
+async def _restart(world: World, name: str) -> None:
+    name = _leader_or(world, name)
+    world.crash(name)
+    await anyio.sleep(world.random.choice([0.05, 0.3, 3.0]))
+    world.start_node(name)
+
+
+async def _mode(world: World, name: str, mode: str) -> None:
+    name = _leader_or(world, name)
+    world.modes[(name, "state")] = mode
+    await anyio.sleep(world.random.choice([0.3, 1.0, 3.0, 9.0]))
+    world.modes.pop((name, "state"), None)
+
+
+async def _refused(world: World, name: str) -> None:
+    await _mode(world, name, "refused")
+
+
+async def _cut(world: World, name: str) -> None:
+    await _mode(world, name, "cut")
+
+
+async def _held(world: World, name: str) -> None:
+    await _mode(world, name, "held")
+
+
+async def _lossy(world: World, name: str) -> None:
+    await _mode(world, name, "lossy")
+
+
+async def _cut_from_peers(world: World, name: str) -> None:
+    world.cut_peers.add(name)
+    await anyio.sleep(world.random.choice([1.0, 5.0]))
+    world.cut_peers.discard(name)
+
+
+async def _stands_still(world: World, name: str) -> None:
+    await world.stand_still(_leader_or(world, name), world.random.choice([0.4, 1.2, 3.0]))
+
+
+async def _late_writes(world: World, name: str) -> None:
+    world.late_writes = 0.3
+    await anyio.sleep(world.random.uniform(2.0, 8.0))
+    world.late_writes = 0.0
+
+
+async def _lost_answers(world: World, name: str) -> None:
+    world.lost_answers = 0.4
+    await anyio.sleep(world.random.uniform(2.0, 8.0))
+    world.lost_answers = 0.0
+
+
+async def _slow_state(world: World, name: str) -> None:
+    world.slow = world.random.choice([20.0, 100.0, 400.0])
+    await anyio.sleep(world.random.uniform(2.0, 6.0))
+    world.slow = 1.0
+
+
+async def _outage(world: World, name: str) -> None:
+    world.state.set_down(True)
+    await anyio.sleep(world.random.uniform(1.0, 6.0))
+    world.state.set_down(False)
+
+
+TROUBLES: list[Trouble] = [
+    _restart, _refused, _cut, _held, _lossy, _cut_from_peers, _stands_still, _late_writes,
+    _lost_answers, _slow_state, _outage,
+]  # fmt: skip
+
+
+async def _troubles(world: World) -> None:
+    """One trouble after another; several of these run at once."""
+    while now() < 1000.0 + TROUBLES_UNTIL_S:
+        await anyio.sleep(world.random.uniform(0.5, 5.0))
+        await world.random.choice(TROUBLES)(world, world.random.choice(world.names))
+
+
+def _drawn_job(world: World, job_id: str) -> dict[str, Any]:
+    """A short array, gang or service."""
+    pick = world.random
+    shape = pick.choice(["sweep", "sweep", "sweep", "group", "daemon"])
+    true_s = pick.choice([0.3, 1.0, 3.0, 8.0])
+    return world.job(
+        name_id=job_id, shape=shape, pieces=pick.randint(1, 4), cpus=6.0, ram_gb=6.0,
+        image_gb=0.1, true_s=true_s, expected_s=0.0 if shape == "daemon" else true_s,
+        urgency="critical" if shape == "daemon" else "standard",
+    )  # fmt: skip
+
+
+class JobUsers:
+    """All who ask about one job: they submit, cancel and repeat both as long as the day lasts."""
+
+    def __init__(self, world: World, job_id: str) -> None:
+        self.world = world
+        self.job_id = job_id
+        self.body = _drawn_job(world, job_id)
+        world.jobs[job_id] = self.body
+        raw = {k: v for k, v in self.body.items() if k != "true_s"}
+        self.submission = Request("POST", "/v2/runs", json.dumps(raw).encode(), False)
+        self.question = Request("GET", f"/v2/runs/{job_id}", b"", False)
+        self.cancellation = Request("POST", f"/v2/runs/{job_id}/abort", b"", False)
+        self.cancels = self.body["shape"] == "daemon" or world.random.random() < 0.5
+
+    async def ask(self, request: Request, name: str | None = None) -> tuple[int, Any]:
+        name = name or self.world.random.choice(self.world.names)
+        wait = POLL_WAIT_S if request.method == "GET" else CHANGE_WAIT_S
+        status, said = await self.world.ask_node(name, request, wait)
+        stage = said.get("stage") if status in (200, 201) else None
+        if status in (200, 201):
+            self.world.accepted.add(self.job_id)
+        if stage == "withdrawn":
+            self.world.cancelled_at.setdefault(self.job_id, now())
+        if stage in ("done", "withdrawn"):
+            self.world.told[self.job_id] = stage
+        if stage == "done" and any(
+            f"{self.job_id}/{n}" not in self.world.results for n in range(self.body["pieces"])
+        ):
+            self.world.broken.append(f"not_done {self.job_id}")
+        return status, said
+
+    async def run(self) -> None:
+        pick = self.world.random
+        while (await self.ask(self.submission))[0] not in (200, 201):
+            await anyio.sleep(pick.uniform(0.5, 1.5))
+        async with anyio.create_task_group() as group:
+            for _ in range(2):
+                group.start_soon(self._look_around)
+            if self.cancels:
+                group.start_soon(self._cancel, pick.choice([0.0, 0.05, 1.0, 3.0, 6.0, 15.0]))
+
+    async def _cancel(self, after: float) -> None:
+        await anyio.sleep(after)
+        while (await self.ask(self.cancellation))[0] != 200:
+            await anyio.sleep(self.world.random.uniform(0.3, 1.0))
+        await self._ask_everywhere()
+
+    async def _look_around(self) -> None:
+        """Poll, and repeat the submission and a cancellation that was asked for."""
+        pick = self.world.random
+        while True:
+            await anyio.sleep(pick.uniform(0.2, 4.0))
+            again = [self.question, self.question, self.submission]
+            if self.world.history.jobs[self.job_id].cancel_asked:
+                again.append(self.cancellation)
+            before = self.world.history.jobs[self.job_id].final
+            await self.ask(pick.choice(again))
+            if self.world.history.jobs[self.job_id].final != before:
+                await self._ask_everywhere()
+
+    async def _ask_everywhere(self) -> None:
+        """Poll and repeat the submission at all controllers at once."""
+        async with anyio.create_task_group() as group:
+            for name in self.world.names:
+                group.start_soon(self.ask, self.question, name)
+                group.start_soon(self.ask, self.submission, name)
+
+
+def play_answers(seed: int, jobs: int = 40) -> World:
+    """Play a drawn day. Tens of machines come up, as many as the jobs need."""
+    world = World(seed, CONTROLLERS)
+    world.boot_s = (0.5, 4.0)
+
+    async def script() -> None:
+        await anyio.sleep(3)
+        for _ in range(3):
+            world.group.start_soon(_troubles, world)
+        for number in range(jobs):
+            await anyio.sleep(world.random.uniform(0.0, 2 * (TROUBLES_UNTIL_S - 10.0) / jobs))
+            world.group.start_soon(JobUsers(world, f"run-{number:06d}").run)
+
+    async def main() -> None:
+        await world.play(LENGTH_S, script)
+
+    run_day(main)
+    return world
+
+
+def main(arguments: list[str]) -> None:
+    first, last = int(arguments[0]), int(arguments[1])
+    jobs = int(arguments[2]) if len(arguments) > 2 else 40
+    logging.disable(logging.CRITICAL)
+    broken = 0
+    for seed in range(first, last + 1):
+        world = play_answers(seed, jobs)
+        broken += bool(world.broken)
+        print(
+            f"seed {seed}: {world.history.answers} answers, {len(world.accepted)} jobs,",
+            f"{len(world.cloud.bookings)} bookings, {world.cloud.next_name} machines,",
+            f"{len(world.broken)} broken: {world.broken[:3]}", flush=True,
+        )  # fmt: skip
+    print(f"{last - first + 1} days played, rules broken on {broken}")
+
+
+if __name__ == "__main__":
+    main(sys.argv[1:])
--- a/tests/standins/__init__.py
+++ b/tests/standins/__init__.py
@@ -4,6 +4,7 @@
 by a seeded generator and an event loop whose clock jumps, so a day repeats exactly.
 """
 
+from standins.answers import AnswerHistory
 from standins.cloud import Cloud
 from standins.deployment import NEXT, TEAMS, TYPES, WORKERS, ZONES, deployment, settings, zone_of
 from standins.network import Link, Wire
@@ -19,6 +20,7 @@
     "TYPES",
     "WORKERS",
     "ZONES",
+    "AnswerHistory",
     "Cloud",
     "Link",
     "Piece",
--- a/tests/standins/world.py
+++ b/tests/standins/world.py
@@ -13,6 +13,7 @@
 from dapplewick.node import Node
 from dapplewick.transport import http
 from dapplewick.transport.http import Answer, Request
+from standins.answers import AnswerHistory
 from standins.cloud import Cloud
 from standins.deployment import ZONES, settings, zone_of
 from standins.network import Link, Wire
@@ -72,6 +73,7 @@
         self.held: dict[str, list[Any]] = {}  # frames and reports for them
         self.group: Any = None
         self.rules = RuleChecker(self)
+        self.history = AnswerHistory()
         self.count = count
 
     def run_time(self, name: str) -> float:
@@ -260,14 +262,37 @@
     # Users
 
     async def ask(self, method: str, path: str, body: bytes = b"") -> tuple[int, Any]:
+        """A user's request to a controller that takes requests, any of them."""
         alive = [n for n in sorted(self.nodes) if self.nodes[n].ready]
         if not alive:
             return 0, {}
+        request = Request(method, path, body, False)
+        return await self.ask_node(self.random.choice(alive), request)
+
+    async def ask_node(self, name: str, request: Request, within: float = 5.0) -> tuple[int, Any]:
+        """A user's request to one controller; what it answers is compared with all answers."""
+        question = self.history.ask(*self._asked(request))
         answer: Answer | None = None
-        with anyio.move_on_after(5.0):  # a controller that crashes answers nobody
-            request = Request(method, path, body, False)
-            answer = await self.to_node(self.random.choice(alive), request)
-        return (0, {}) if answer is None else (answer.status, json.loads(answer.body))
+        with anyio.move_on_after(within):  # a controller that crashes answers nobody
+            answer = await self.to_node(name, request)
+        if answer is None:
+            return 0, {}
+        said = json.loads(answer.body)
+        before = len(self.history.broken)
+        self.history.answered(question, answer.status, said)
+        self.broken += [f"{b} by {name} at {now():.2f}" for b in self.history.broken[before:]]
+        if answer.status == 503 and not answer.retry_after:
+            self.broken.append(f"no Retry-After from {name}")
+        return answer.status, said
+
+    @staticmethod
+    def _asked(request: Request) -> tuple[str, str]:
+        """The job that a request is about, and what it asks of it."""
+        parts = request.target.split("/")
+        if len(parts) > 3:
+            return parts[3], "abort" if parts[-1] == "abort" else "poll"
+        body = json.loads(request.body)
+        return str(body.get("name_id", "")) if isinstance(body, dict) else "", "submit"
 
     async def user(self, job_id: str, body: dict[str, Any], cancel_after: float | None) -> None:
         self.jobs[job_id] = body
