Answers to users come from one reader of jobs that can't tell an older state

Cause: Api.submit answered "201 queued" from what it was about to write. After a transaction without an answer it read the record, and whatever that said the answer was the same. The transaction may have been refused because the job is known, on a controller that has not read it yet (cut from the state service a moment ago, or a fraction of a second behind), and the job may be done or cancelled by then, and told so by others.

Mend: job_states.py is the one place from which answers take a job's state: a final state, or a read of the changes that was asked for after the question. Submissions, their repeats, polls and cancellations are worded from the record it returns, also after a write of our own that was known done late. On nothing else can an answer rest.

Other paths with the same flaw, each with a test that fails on the sources before this commit: - a controller that stood still, or is short of processor time, answered from a read of long ago: older than 2 s, the time that users wait, it says 503 - a read shared by many that broke (an answer that can't be parsed) left all of them waiting; an answer older than what was read counted as current - a record that can't be parsed left the one before it standing for answers - a page of a listing without items that is not the last was taken for the end: all jobs after it would have been answered 404 - a submission of a known job could be refused for good (400 or 422) where the job was not read yet and the catalogue or the limits had changed - a watch answered after a newer one could bring back keys removed since, once more than 5,000 removals were remembered - malformed lists of cancellations from a peer cancelled what they named

--- a/src/dapplewick/api.py
+++ b/src/dapplewick/api.py
@@ -9,6 +9,7 @@
 import msgspec
 
 from dapplewick.config import Deployment, StateLimits
+from dapplewick.job_states import JobStates, Records
 from dapplewick.protocol.wire import JobSpec, Malformed, job_view, parse_submission
 from dapplewick.storage.client import Conflict, Refused, StateClient, Unknown
 from dapplewick.storage.records import (
@@ -17,7 +18,6 @@
     FORMAT_NOW,
     JOBS,
     JobRecord,
-    Mirror,
     chunk_tasks,
     size_of,
 )
@@ -37,17 +37,14 @@
 NO_METHOD = Answer(405, b'{"error":"method not allowed"}')
 
 
-class World(Protocol):
+class World(Records, Protocol):
     """What the interface needs of its controller."""
 
-    mirror: Mirror
     state: StateClient
     ready: bool
 
     def wall(self) -> Seconds: ...
 
-    async def current(self) -> None: ...
-
     def limits_now(self) -> StateLimits: ...
 
     def stored(self, key: str, value: object, version: int) -> None: ...
@@ -66,6 +63,7 @@
 
     def __init__(self, world: World, deployment: Deployment) -> None:
         self.world = world
+        self.states = JobStates(world)
         self.deployment = deployment
         self.teams = {t.name: t for t in deployment.teams}
 
@@ -148,7 +146,7 @@
             return error(400, str(err))
         mirror = self.world.mirror
         if job_id in mirror.jobs:
-            return await self.poll(job_id)
+            return await self._state_or(job_id, UNAVAILABLE)
         if spec.daemon and mirror.format < FORMAT_NOW:
             # The record decides, so all controllers answer alike; not what this one last read.
             await self.world.current()
@@ -158,7 +156,16 @@
             return UNAVAILABLE
         reason = self._why_never(spec)
         if reason is not None:
-            return error(422, reason)
+            return await self._refuse(job_id, error(422, reason))
+        job = self._new_record(spec)
+        value = job.dump()
+        if size_of(value) > self.world.limits_now().value_bytes:
+            return await self._refuse(job_id, error(400, "the texts are too long together"))
+        return await self._accept(job_id, spec.tasks, value)
+
+    def _new_record(self, spec: JobSpec) -> JobRecord:
+        """The first record of a job that is about to be accepted."""
+        mirror = self.world.mirror
         if spec.types is not None:
             known = sorted({t for t in spec.types if t in mirror.types})
             spec = msgspec.structs.replace(spec, types=known)
@@ -166,58 +173,67 @@
         zones, room = self.deployment.zones, self.world.limits_now().value_bytes
         if mirror.format >= FORMAT_NOW and not spec.gang and job.outgrows(zones, room):
             job.chunk = chunk_tasks(spec.tasks, zones, room)
-        value = job.dump()
-        if size_of(value) > room:
-            return error(400, "the texts are too long together")
+        return job
+
+    async def _accept(self, job_id: JobId, tasks: int, value: object) -> Answer:
+        """Store a new job. What it answers is what is known of the job when the write has ended,
+        not what was to be written."""
         key = JOBS + job_id
         try:
             version = await self.world.state.txn({key: 0}, {key: value})
-        except Conflict:
-            return await self.poll(job_id)
-        except Unknown:
-            # The answer was lost: what is stored tells. If nothing is, the write may still
-            # come late, and then the user's retry finds the job known.
-            found, version = await self.world.state.get(key)
-            if not version:
-                return UNAVAILABLE
-            value = found
+        except (Conflict, Unknown):
+            # The job is known, or the answer was lost: of the transaction that accepted it, or
+            # of one that was refused since the job is known, and may be over, elsewhere. If no
+            # job is found the write may still come late; the user's retry finds it then.
+            return await self._state_or(job_id, UNAVAILABLE)
         self.world.stored(key, value, version)
-        log.info("event=accepted job=%s tasks=%d", job_id, spec.tasks)
-        return Answer(201, job_view(job_id, "queued"))
+        log.info("event=accepted job=%s tasks=%d", job_id, tasks)
+        return self._short(201, job_id, self.states.latest(job_id))
 
-    def _final(self, job_id: JobId) -> Answer | None:
-        job = self.world.mirror.jobs.get(job_id)
-        if job is None or job.open:
-            return None
-        stage = "done" if job.stage == DONE else "withdrawn"
-        return Answer(200, job_view(job_id, stage, job.done_count, 0))
+    async def _refuse(self, job_id: JobId, refusal: Answer) -> Answer:
+        """Refuse a submission for good, unless its job was accepted before: then the catalogue or
+        the limits have changed since. While the records can't be read the refusal rests on
+        these alone, as it always does for a job that nobody accepted."""
+        try:
+            return await self._state_or(job_id, refusal)
+        except Refused:
+            return refusal
 
-    async def poll(self, job_id: JobId) -> Answer:
-        final = self._final(job_id)
-        if final is not None:
-            return final
-        # What is not final may have changed elsewhere: no older answer than another node's.
-        await self.world.current()
-        final = self._final(job_id)
-        if final is not None:
-            return final
-        job = self.world.mirror.jobs.get(job_id)
+    async def _state_or(self, job_id: JobId, otherwise: Answer) -> Answer:
+        """How a job stands, or another answer if there is no such job."""
+        job = await self.states.read(job_id)
         if job is None:
-            return NOT_FOUND
-        running = self.world.running_tasks(job_id)
-        stage = "running" if running else "queued"
+            return otherwise
+        running = self.world.running_tasks(job_id) if job.open else 0
+        stage = self._stage(job, running)
         return Answer(200, job_view(job_id, stage, job.done_count, running))
 
+    @staticmethod
+    def _stage(job: JobRecord, running: int) -> str:
+        """The word for a job's state."""
+        if job.stage == DONE:
+            return "done"
+        if job.stage == CANCELLED:
+            return "withdrawn"
+        return "running" if running else "queued"
+
+    def _short(self, status: int, job_id: JobId, job: JobRecord | None) -> Answer:
+        """How a job stands, without counts, right after a write of it."""
+        if job is None:
+            return UNAVAILABLE
+        return Answer(status, job_view(job_id, self._stage(job, 0)))
+
+    async def poll(self, job_id: JobId) -> Answer:
+        return await self._state_or(job_id, NOT_FOUND)
+
     async def abort(self, job_id: JobId) -> Answer:
         key = JOBS + job_id
         for _ in range(TRIES):
-            await self.world.current()
-            job = self.world.mirror.jobs.get(job_id)
+            job = await self.states.read_anew(job_id)
             if job is None:
                 return NOT_FOUND
             if not job.open:
-                stage = "done" if job.stage == DONE else "withdrawn"
-                return Answer(200, job_view(job_id, stage))
+                return self._short(200, job_id, job)
             cancelled = JobRecord(job.spec, job.at)
             cancelled.stage = CANCELLED
             cancelled.grants = job.grants
@@ -226,12 +242,10 @@
             value = cancelled.dump(self.world.limits_now().value_bytes)
             try:
                 version = await self.world.state.txn({key: job.main_version}, {key: value})
-            except Conflict:
-                continue
-            except Unknown:
-                # Read back in the next round; a late write fails or does the same.
+            except (Conflict, Unknown):
+                # Read again in the next round; a late write fails or does the same.
                 continue
             self.world.stored(key, value, version)
             log.info("event=cancelled job=%s", job_id)
-            return Answer(200, job_view(job_id, "withdrawn"))
+            return self._short(200, job_id, self.states.latest(job_id))
         return UNAVAILABLE
--- a/src/dapplewick/coordination/cancellations.py
+++ b/src/dapplewick/coordination/cancellations.py
@@ -15,6 +15,9 @@
 from collections.abc import Iterable
 from typing import Any
 
+import msgspec
+
+from dapplewick.protocol.wire import JOB_ID, MAX_COUNT
 from dapplewick.storage.records import Mirror
 from dapplewick.types import JobId, NodeName, Revision, Seconds
 
@@ -22,6 +25,27 @@
 LISTED_MOST = 2000  # cancellations in one message; with more of them it assures nothing
 
 
+class _Told(msgspec.Struct):
+    """What a peer's message says of cancellations; `CancellationWatch.message` makes it."""
+
+    at: float
+    boot: str
+    revision: int
+    heard: dict[str, tuple[str, float]]
+    complete: bool
+    since: int
+    cancelled: list[tuple[int, str]]
+
+    def check(self) -> None:
+        """Raise ValueError for a list that no controller sends. It is refused whole: what it
+        names would count as cancelled."""
+        if len(self.cancelled) > LISTED_MOST:
+            raise ValueError("too many cancellations")
+        for version, job in self.cancelled:
+            if not 0 < version < MAX_COUNT or not JOB_ID.match(job):
+                raise ValueError("not a cancellation")
+
+
 class CancellationWatch:
     """One controller's side of the exchange; a state machine without I/O."""
 
@@ -58,17 +82,15 @@
         """A peer's message; what it lists goes into the mirror. Raises if it is malformed."""
         if peer not in self._peers or "heard" not in said:
             return  # not of this deployment, or of a version that knows nothing of this
-        cancelled = [(int(version), JobId(str(job))) for version, job in said["cancelled"]]
-        asked = said["heard"].get(me)
-        boot, at = (str(asked[0]), float(asked[1])) if asked is not None else ("", 0.0)
-        question = (str(said["boot"]), float(said["at"]))
-        since, revision = int(said["since"]), Revision(int(said["revision"]))
-        self._questions[peer] = question
-        self._revisions[peer] = (now, revision)
-        for version, job in cancelled:
-            mirror.told_cancelled(job, version)
+        told = msgspec.convert(said, type=_Told)
+        told.check()
+        boot, at = told.heard.get(me, ("", 0.0))
+        self._questions[peer] = (told.boot, told.at)
+        self._revisions[peer] = (now, Revision(told.revision))
+        for version, job in told.cancelled:
+            mirror.told_cancelled(JobId(job), version)
         # A list that begins after what we have read may lack some.
-        if said["complete"] is True and boot == self._boot and since <= mirror.revision:
+        if told.complete and boot == self._boot and told.since <= mirror.revision:
             self._answered[peer] = max(at, self._answered.get(peer, at))
 
     def known_at(self, now: Seconds) -> Seconds:
--- /dev/null
+++ b/src/dapplewick/job_states.py
@@ -0,0 +1,61 @@
+"""What users may be told of a job: the one place from which answers take a job's state.
+
+No controller may give an older answer than any has given before. Two kinds of knowledge are safe:
+
+- A final state. Records are changed only by comparing versions, and nothing is ever written over
+  a job that is done or cancelled, so it stays true however old the copy is.
+- Anything else, if the newest changes were asked for after the user's question came: whatever was
+  told by then is in the records, since a controller tells only what is stored.
+
+What a request was about to write is no such knowledge: its transaction may have been carried out
+without an answer, or refused because the job is known, and the job may be over by then.
+"""
+
+from __future__ import annotations
+
+from typing import Protocol
+
+from dapplewick.storage.client import Refused
+from dapplewick.storage.records import JOBS, JobRecord, Mirror
+from dapplewick.types import JobId, Seconds
+
+# Users wait 2 s for the answer to a question. What rests on an older read is not told any more:
+# the process stood still or is short of processor time, and others have told newer things since.
+ANSWER_AGE_S = 2.0
+
+
+class Records(Protocol):
+    """A copy of the records that can be brought up to date."""
+
+    mirror: Mirror
+
+    def now(self) -> Seconds: ...
+
+    async def current(self) -> Seconds: ...
+
+
+class JobStates:
+    """Reads jobs for answers to users. Raises Refused where it can't be sure."""
+
+    def __init__(self, records: Records) -> None:
+        self._records = records
+
+    async def read(self, job_id: JobId) -> JobRecord | None:
+        """A job as it stands; None if there is none."""
+        job = self._records.mirror.jobs.get(job_id)
+        if job is not None and not job.open:
+            return job
+        return await self.read_anew(job_id)
+
+    async def read_anew(self, job_id: JobId) -> JobRecord | None:
+        """A job as it stands by a read that begins now; None if there is none."""
+        asked_at = await self._records.current()
+        if self._records.now() - asked_at > ANSWER_AGE_S:
+            raise Refused("the records were read too long ago")
+        return self.latest(job_id)
+
+    def latest(self, job_id: JobId) -> JobRecord | None:
+        """A job by what was read so far, where a read or a write of it has just ended."""
+        if JOBS + job_id in self._records.mirror.unreadable:
+            raise Refused("the newest record of the job can't be read")
+        return self._records.mirror.jobs.get(job_id)
--- a/src/dapplewick/node.py
+++ b/src/dapplewick/node.py
@@ -36,6 +36,7 @@
     Unknown,
     batches,
 )
+from dapplewick.storage.read_checks import ReadChecks
 from dapplewick.storage.records import (
     CANCELLED,
     FORMAT_NOW,
@@ -52,7 +53,7 @@
 from dapplewick.transport.listen import Door, Mark
 from dapplewick.transport.peer import PeerLink, receive_frames
 from dapplewick.tuning import Tuning
-from dapplewick.types import JobId, MachineId, NodeName, Revision, Seconds, Token, Zone
+from dapplewick.types import JobId, MachineId, NodeName, Seconds, Token, Zone
 
 log = logging.getLogger("dapplewick.node")
 
@@ -96,14 +97,6 @@
 BEHIND = Answer(503, b'{"error":"overloaded"}', 2)
 
 
-class Check:
-    """One look whether the mirror is current, shared by all who wait for it."""
-
-    def __init__(self) -> None:
-        self.over = anyio.Event()
-        self.error: Exception | None = None
-
-
 class Node:
     """One controller process."""
 
@@ -134,7 +127,9 @@
         self._few_writes = writes * (1 - LEADER_WRITES) / max(1, deployment.count - 1)
         self._many_writes = writes * LEADER_WRITES
         self.state = StateClient(connect(host, port), rps, self._few_writes, LEAST_BURST)
-        self._check_gap = max(CHECK_S, 1.0 / (0.4 * rps))
+        self._read_checks = ReadChecks(
+            lambda: self._follow(0), clock, max(CHECK_S, 1.0 / (0.4 * rps))
+        )
         self._watch_gap = 1.0 / (WATCH_SHARE * rps)
         host, port = host_port(settings.outside.cloud, "outside.cloud")
         self.cloud = connect(host, port)
@@ -167,8 +162,6 @@
         self._read_epoch = Token(0)  # the epoch after whose beginning the records were read
         self._planned_epoch = Token(0)  # the newest under which this process planned
         self._doubted_epoch = Token(0)  # one under which a write may still come late
-        self._next_check: Check | None = None
-        self._check_wake = anyio.Event()
         self._leader_wake = anyio.Event()
         self._hurry = anyio.Event()
         self._pass_took = 0.0
@@ -260,13 +253,7 @@
         except TooOld:
             await self._load()
             return
-        for event in changes.events:
-            if event.put is not None:
-                self.mirror.put(event.put, event.value, event.version)
-            elif event.delete is not None:
-                self.mirror.remove(event.delete, event.version)
-        if changes.revision > self.mirror.revision:
-            self.mirror.revision = Revision(changes.revision)
+        self.mirror.follow(changes.events, changes.revision)
         self.current_at = max(self.current_at, sent)
         self.contact_at = self.now()
         self._apply_changed()
@@ -284,29 +271,13 @@
                 log.debug("event=watch_failed error=%s", err)
                 await anyio.sleep(0.2 + self.random.random() * 0.3)
 
-    async def current(self) -> None:
-        """Return once the mirror is known to be as new as when this was called."""
-        check = self._next_check
-        if check is None:
-            check = self._next_check = Check()
-            self._check_wake.set()
-        await check.over.wait()
-        if check.error is not None:
-            raise check.error
+    async def current(self) -> Seconds:
+        """Return once the mirror is known to be as new as when this was called; gives when the
+        changes were asked for."""
+        return await self._read_checks.current()
 
     async def _check_loop(self) -> None:
-        while True:
-            if self._next_check is None:
-                self._check_wake = anyio.Event()
-                await self._check_wake.wait()
-            check, self._next_check = self._next_check, None
-            assert check is not None
-            try:
-                await self._follow(0)
-            except (Refused, Unknown) as err:
-                check.error = Refused(str(err))
-            check.over.set()
-            await anyio.sleep(self._check_gap)
+        await self._read_checks.run()
 
     # Leases and leadership
 
--- a/src/dapplewick/storage/client.py
+++ b/src/dapplewick/storage/client.py
@@ -8,6 +8,7 @@
 from typing import Any, TypeVar
 
 import anyio
+import msgspec
 
 from dapplewick.config import StateLimits
 from dapplewick.protocol import wire
@@ -134,6 +135,15 @@
             raise Refused(str(status))
         return status, answer
 
+    @staticmethod
+    def _decoded(decoder: msgspec.json.Decoder[C], answer: bytes) -> C:
+        """What a 200 says. One that can't be parsed tells nothing: it is as if it were lost."""
+        try:
+            return decoder.decode(answer)
+        except (msgspec.MsgspecError, UnicodeDecodeError) as err:
+            log.error("event=state_answer_refused error=%s answer=%r", err, answer[:200])
+            raise Unknown("malformed answer") from None
+
     def _spend(self, amount: float = 1.0, reserve: float = 0.0) -> None:
         if not self.calls.take(amount, reserve):
             raise Refused("over the request budget")
@@ -146,7 +156,7 @@
             return None, 0
         if status != 200:
             raise Refused(str(status))
-        item = wire.key_item.decode(answer)
+        item = self._decoded(wire.key_item, answer)
         return item.value, item.version
 
     async def listing(self, prefix: str) -> tuple[dict[str, tuple[Any, int]], int]:
@@ -160,13 +170,16 @@
             status, answer = await self._call("GET", target, None, 5.0)
             if status != 200:
                 raise Refused(str(status))
-            page = wire.key_page.decode(answer)
+            page = self._decoded(wire.key_page, answer)
             first = page.revision if first is None else first
             for item in page.items:
                 items[item.key] = (item.value, item.version)
                 since = item.key
-            if not page.more or not page.items:
+            if not page.more:
                 return items, first
+            if not page.items:
+                # Taken for the end, all keys that come after would count as removed.
+                raise Refused("a page without items that is not the last")
 
     async def changes(self, prefix: str, since: int, wait_ms: int) -> wire.Changes:
         self._spend()
@@ -176,7 +189,11 @@
             raise TooOld
         if status != 200:
             raise Refused(str(status))
-        return wire.changes.decode(answer)
+        found = self._decoded(wire.changes, answer)
+        if found.revision < since:
+            # Nothing is known to be current by an answer that is older than what was read.
+            raise Refused("the answer is older than the question")
+        return found
 
     async def txn(
         self,
@@ -200,9 +217,9 @@
         body = wire.txn_body(conditions, puts, deletes, leases or {})
         status, answer = await self._call("POST", "/multi", body)
         if status == 200:
-            return wire.txn_result.decode(answer).revision
+            return self._decoded(wire.txn_result, answer).revision
         if status == 409:
-            raise Conflict(wire.txn_result.decode(answer).failed)
+            raise Conflict(self._decoded(wire.txn_result, answer).failed)
         if status == 400 and b"no such lease" in answer:
             raise NoLease
         log.error(
@@ -218,7 +235,7 @@
         status, answer = await self._call("POST", "/leases", wire.lease_body(ttl_ms))
         if status != 200:
             raise Refused(str(status))
-        return wire.lease.decode(answer).lease
+        return self._decoded(wire.lease, answer).lease
 
     async def renew(self, lease: int) -> None:
         # Renewals come before everything else: they may overdraw the budget.
--- /dev/null
+++ b/src/dapplewick/storage/read_checks.py
@@ -0,0 +1,77 @@
+"""Reads of the newest changes, each shared by all who wait for one.
+
+Whoever must not answer from an old copy of the records waits for a read that begins after it
+asked. A read for each of them would use up the budget of requests to the state service.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Awaitable, Callable
+
+import anyio
+
+from dapplewick.storage.client import Refused, Unknown
+from dapplewick.types import Seconds
+
+
+class _Read:
+    """One read of the changes that is yet to begin or is under way."""
+
+    def __init__(self) -> None:
+        self.over = anyio.Event()
+        self.asked_at: Seconds = 0.0
+        self.error: Refused | None = None
+
+
+class ReadChecks:
+    """Reads the changes when somebody waits for that, one read after the other."""
+
+    def __init__(
+        self,
+        read: Callable[[], Awaitable[None]],
+        clock: Callable[[], Seconds],
+        pause: Seconds,
+    ) -> None:
+        self._read = read
+        self._clock = clock
+        self._pause = pause
+        self._next: _Read | None = None
+        self._wanted = anyio.Event()
+
+    async def current(self) -> Seconds:
+        """Return once all changes up to this call were read; gives when they were asked for.
+
+        Raises Refused if they can't be read.
+        """
+        read = self._next
+        if read is None:
+            read = self._next = _Read()
+            self._wanted.set()
+        await read.over.wait()
+        if read.error is not None:
+            raise read.error
+        return read.asked_at
+
+    async def run(self) -> None:
+        """Serve those who wait, for ever."""
+        while True:
+            if self._next is None:
+                self._wanted = anyio.Event()
+                await self._wanted.wait()
+            read, self._next = self._next, None
+            assert read is not None
+            await self._carry_out(read)
+            await anyio.sleep(self._pause)
+
+    async def _carry_out(self, read: _Read) -> None:
+        # Until the read is known to have succeeded it counts as failed: whatever ends it, an
+        # answer that can't be parsed included, nobody is left waiting or takes it for a success.
+        read.error = Refused("the changes could not be read")
+        read.asked_at = self._clock()
+        try:
+            await self._read()
+            read.error = None
+        except (Refused, Unknown) as err:
+            read.error = Refused(str(err))
+        finally:
+            read.over.set()
--- a/src/dapplewick/storage/records.py
+++ b/src/dapplewick/storage/records.py
@@ -4,12 +4,12 @@
 
 import logging
 from bisect import bisect_right, insort
-from collections.abc import Callable, Iterator
+from collections.abc import Callable, Iterable, Iterator
 from typing import Any
 
 import msgspec
 
-from dapplewick.protocol.wire import JobSpec, MachineType, parse_types
+from dapplewick.protocol.wire import Event, JobSpec, MachineType, parse_types
 from dapplewick.storage.ranges import pack, unpack
 from dapplewick.types import JobId, MachineId, NodeName, Revision, Zone
 
@@ -30,6 +30,9 @@
 
 OPEN, DONE, CANCELLED = "open", "done", "cancelled"
 
+GONE_LEAST = 5000  # removed keys that are remembered in any case
+CHANGES_KEPT = 10_000  # of the state service: no read takes as long as so many changes
+
 # What a controller understands. A version that says nothing of itself is of the first one, and
 # until the record of the format says otherwise only what that understands is written or sent.
 FIRST_FORMAT, FORMAT_NOW = 2, 3
@@ -331,6 +334,8 @@
         self.live_jobs: dict[JobId, None] = {}  # in the order in which they came
         self.changed_machines: list[MachineId] = []  # taken by whoever tells the cores
         self._gone: dict[str, int] = {}
+        self._gone_most = GONE_LEAST  # with more of them, those that no read can tell are dropped
+        self.unreadable: dict[str, int] = {}  # keys whose newest value can't be parsed
         self._cancellations: list[tuple[int, JobId]] = []  # in the order of their versions
         self._told_cancelled: dict[JobId, int] = {}  # by peers, before the records came here
         self.listeners: list[Callable[[str], None]] = []
@@ -343,20 +348,38 @@
             self.put(key, value, version)
         self.revision = Revision(max(self.revision, revision))
 
+    def follow(self, events: Iterable[Event], revision: int) -> None:
+        """Take over an answer to a watch. Answers may overtake one another: what one tells up to
+        the revision that was read already is passed over, since a newer removal may be forgotten
+        here by then."""
+        read = self.revision
+        for event in events:
+            if event.version <= read:
+                continue
+            if event.put is not None:
+                self.put(event.put, event.value, event.version)
+            elif event.delete is not None:
+                self.remove(event.delete, event.version)
+        self.revision = Revision(max(self.revision, revision))
+
     def put(self, key: str, value: Any, version: int) -> None:
-        if self.versions.get(key, 0) >= version or self._gone.get(key, 0) >= version:
+        known = max(self.versions.get(key, 0), self._gone.get(key, 0), self.unreadable.get(key, 0))
+        if known >= version:
             return
         try:
             self._store(key, value, version)
         except (msgspec.ValidationError, ValueError, TypeError) as err:
+            # The record before it stands, but is not the newest: users are not told of it.
             log.error("event=record_refused key=%s error=%s", key, err)
+            self.unreadable[key] = version
             return
+        self.unreadable.pop(key, None)
         self.versions[key] = version
         for listener in self.listeners:
             listener(key)
 
     def remove(self, key: str, version: int) -> None:
-        if self.versions.get(key, 0) > version:
+        if max(self.versions.get(key, 0), self.unreadable.get(key, 0)) > version:
             return
         self._remove(key, version)
 
@@ -481,10 +504,10 @@
 
     def _remove(self, key: str, version: int) -> None:
         self.versions.pop(key, None)
+        self.unreadable.pop(key, None)
         self._gone[key] = version
-        if len(self._gone) > 5000:
-            for old in list(self._gone)[:2500]:
-                del self._gone[old]
+        if len(self._gone) > self._gone_most:
+            self._forget_gone()
         name = key[len(ROOT) + 2 :]
         if key.startswith(JOBS):
             self.jobs.pop(JobId(name), None)
@@ -516,6 +539,12 @@
         for listener in self.listeners:
             listener(key)
 
+    def _forget_gone(self) -> None:
+        """Drop removals so old that no answer under way can tell of what was there before."""
+        oldest = self.revision - CHANGES_KEPT
+        self._gone = {key: v for key, v in self._gone.items() if v > oldest}
+        self._gone_most = max(GONE_LEAST, 2 * len(self._gone))
+
     def cancellations(self, since: int) -> list[tuple[int, JobId]]:
         """Every cancellation known here that is newer than a revision, with its version."""
         return self._cancellations[bisect_right(self._cancellations, (since, "\U0010ffff")) :]
--- a/tests/answer_days.py
+++ b/tests/answer_days.py
@@ -15,12 +15,14 @@
 import anyio
 
 from dapplewick.transport.http import Request
+from rolls import lower_limits
 from standins import World, now, run_day
 
 POLL_WAIT_S, CHANGE_WAIT_S = 2.0, 5.0  # how long users wait for an answer
 LENGTH_S = 100.0
 TROUBLES_UNTIL_S = 80.0
 CONTROLLERS = 4
+LONG_ARRAYS = 0.05  # the share of jobs
 
 Trouble = Callable[[World, str], Coroutine[Any, Any, None]]
 
@@ -112,6 +114,9 @@
 def _drawn_job(world: World, job_id: str) -> dict[str, Any]:
     """A short array, gang or service."""
     pick = world.random
+    if pick.random() < LONG_ARRAYS:
+        # Its record outgrows the lower limit of a value, so it is kept in chunks.
+        return world.job(name_id=job_id, pieces=400, cpus=0.1, ram_gb=0.1, true_s=2.0)
     shape = pick.choice(["sweep", "sweep", "sweep", "group", "daemon"])
     true_s = pick.choice([0.3, 1.0, 3.0, 8.0])
     return world.job(
@@ -196,6 +201,8 @@
 
     async def script() -> None:
         await anyio.sleep(3)
+        if seed % 2:
+            lower_limits(world)
         for _ in range(3):
             world.group.start_soon(_troubles, world)
         for number in range(jobs):
--- a/tests/standins/world.py
+++ b/tests/standins/world.py
@@ -13,7 +13,7 @@
 from dapplewick.node import Node
 from dapplewick.transport import http
 from dapplewick.transport.http import Answer, Request
-from standins.answers import AnswerHistory
+from standins.answers import AnswerHistory, Question
 from standins.cloud import Cloud
 from standins.deployment import ZONES, settings, zone_of
 from standins.network import Link, Wire
@@ -277,13 +277,17 @@
             answer = await self.to_node(name, request)
         if answer is None:
             return 0, {}
+        return answer.status, self.note_answer(question, name, answer)
+
+    def note_answer(self, question: Question, name: str, answer: Answer) -> Any:
+        """Compare a controller's answer with all answers before; gives what it says."""
         said = json.loads(answer.body)
         before = len(self.history.broken)
         self.history.answered(question, answer.status, said)
         self.broken += [f"{b} by {name} at {now():.2f}" for b in self.history.broken[before:]]
         if answer.status == 503 and not answer.retry_after:
             self.broken.append(f"no Retry-After from {name}")
-        return answer.status, said
+        return said
 
     @staticmethod
     def _asked(request: Request) -> tuple[str, str]:
--- a/tests/test_answers.py
+++ b/tests/test_answers.py
@@ -6,17 +6,33 @@
 from __future__ import annotations
 
 import json
+from collections.abc import Awaitable, Callable
 from typing import Any
 
 import anyio
 import pytest
+from msgspec.structs import replace
 
 from answer_days import play_answers
-from dapplewick.storage.records import JOBS
+from dapplewick.coordination.cancellations import CancellationWatch
+from dapplewick.protocol.wire import Event, JobSpec
+from dapplewick.storage.client import Refused, StateClient
+from dapplewick.storage.records import (
+    BOOKINGS,
+    CHANGES_KEPT,
+    GONE_LEAST,
+    JOBS,
+    JobRecord,
+    Mirror,
+)
 from dapplewick.transport.http import Request
-from standins import AnswerHistory, World
+from dapplewick.types import JobId, NodeName
+from standins import AnswerHistory, World, now, run_day
 from test_days import run_script
 
+Reply = tuple[int, bytes]
+
+SPEC = JobSpec("x", "red", False, 1, 2, 1.0, 0.0, 1.0, "img", 1.0, 5.0)
 JOB = "run-000001"
 KEY = JOBS + JOB
 
@@ -108,6 +124,286 @@
     assert statuses[0] == 503 and statuses[1] in (200, 201)
 
 
+# A write that is known done late
+
+
+def answer_of_state(
+    world: World, name: str, change: Callable[[str, Reply], Awaitable[Reply]]
+) -> None:
+    """What a controller is answered by the state service goes through `change`."""
+    client = world.nodes[name].state._http
+    put = client.request
+
+    async def request(method: str, target: str, body: bytes | None, within: float) -> Reply:
+        return await change(target, await put(method, target, body, within))
+
+    client.request = request  # type: ignore[method-assign]
+
+
+@pytest.mark.parametrize("verb", ["submit", "abort"])
+def test_a_write_that_is_known_done_late_is_answered_as_things_stand_then(verb: str) -> None:
+    """The record that was written is not the newest any more when its answer comes."""
+    world = World(1)
+    answers: list[tuple[int, Any]] = []
+
+    async def script() -> None:
+        await anyio.sleep(4)
+        request = submission(world)
+        if verb == "abort":
+            assert (await world.ask_node("n0", request))[0] == 201
+
+        async def late(target: str, reply: Reply) -> Reply:
+            await anyio.sleep(1.2 if target == "/multi" else 0.0)
+            return reply
+
+        answer_of_state(world, "n2", late)
+
+        async def first() -> None:
+            answers.append(
+                await world.ask_node("n2", request if verb == "submit" else CANCELLATION)
+            )
+
+        async with anyio.create_task_group() as group:
+            group.start_soon(first)
+            await anyio.sleep(0.4)
+            assert (await world.ask_node("n0", CANCELLATION))[1]["stage"] == "withdrawn"
+
+    run_script(world, 20.0, script)
+    assert world.broken == []
+    ((status, said),) = answers
+    assert status in (200, 201) and said["stage"] == "withdrawn"
+
+
+async def watch_is_late(target: str, reply: Reply) -> Reply:
+    """What the open watch tells comes seconds after the read that a user waits for."""
+    if target.startswith("/changes") and "wait_ms=0" not in target:
+        await anyio.sleep(5.0)
+    return reply
+
+
+# What an answer rests on may be a few seconds old when the process goes on
+
+
+@pytest.mark.parametrize("request_", ["poll", "submit", "abort"])
+def test_a_controller_that_stood_still_tells_nothing_that_it_read_before(request_: str) -> None:
+    """It read the records, stood still, and the job was cancelled elsewhere meanwhile."""
+    world = World(1)
+    answers: list[tuple[int, Any]] = []
+
+    async def script() -> None:
+        await anyio.sleep(4)
+        request = submission(world)
+        assert (await world.ask_node("n0", request))[0] == 201
+        await anyio.sleep(1)
+        asked = {"poll": POLL, "submit": request, "abort": CANCELLATION}[request_]
+        world.cut_peers.add("n2")
+        answer_of_state(world, "n2", watch_is_late)
+
+        async def ask_the_one_that_stands_still() -> None:
+            answers.append(await world.ask_node("n2", asked))
+
+        async with anyio.create_task_group() as group:
+            world.slow = 200.0
+            group.start_soon(ask_the_one_that_stands_still)
+            await anyio.sleep(0.1)
+            group.start_soon(world.stand_still, "n2", 3.0)
+            await anyio.sleep(1.3)  # it was answered by now, and does not know it yet
+            world.slow = 1.0
+            assert (await world.ask_node("n0", CANCELLATION))[1]["stage"] == "withdrawn"
+
+    run_script(world, 20.0, script)
+    assert world.broken == []
+    ((status, said),) = answers
+    assert status in (0, 503) or said["stage"] == "withdrawn"
+
+
+# Answers of the state service that can't be used
+
+
+def spoilt(spoil: bytes) -> Callable[[str, Reply], Awaitable[Reply]]:
+    """All that is said of changes is replaced."""
+
+    async def change(target: str, reply: Reply) -> Reply:
+        return (200, spoil) if target.startswith("/changes") else reply
+
+    return change
+
+
+@pytest.mark.parametrize(
+    "spoil",
+    [b'{"ledger":', b"[]", b'{"ledger":"x","events":[]}', b'{"ledger":0,"events":[]}'],
+    ids=["cut off", "no object", "no revision", "an older revision"],
+)
+def test_answers_of_the_state_service_that_are_no_use_are_no_knowledge(spoil: bytes) -> None:
+    """Nobody waits for ever on a read that broke, and none takes it for one that succeeded."""
+    world = World(1)
+    answers: list[tuple[int, Any]] = []
+    waited: list[float] = []
+
+    async def script() -> None:
+        await anyio.sleep(4)
+        request = submission(world)
+        assert (await world.ask_node("n0", request))[0] == 201
+        world.cut_peers.add("n2")  # it answers by itself, and hears of no cancellation
+        answer_of_state(world, "n2", spoilt(spoil))
+        await anyio.sleep(5)
+        assert (await world.ask_node("n0", CANCELLATION))[1]["stage"] == "withdrawn"
+        for asked in (POLL, request, CANCELLATION, POLL):
+            begun = now()
+            answers.append(await world.ask_node("n2", asked))
+            waited.append(now() - begun)
+        del world.nodes["n2"].state._http.request
+        await anyio.sleep(3)
+        answers.append(await world.ask_node("n2", POLL))
+
+    run_script(world, 40.0, script)
+    assert world.broken == []
+    assert [status for status, _ in answers] == [503, 503, 503, 503, 200]
+    assert answers[-1][1]["stage"] == "withdrawn"
+    assert max(waited) < 1.0
+
+
+def test_a_job_whose_newest_record_cannot_be_read_is_not_answered_from_the_one_before() -> None:
+    world = World(1)
+    answers: list[int] = []
+
+    async def write(value: Any) -> None:
+        body = {"apply": [{"write": KEY, "data": value}]}
+        assert (await world.state.answer("POST", "/multi", json.dumps(body).encode()))[0] == 200
+        await anyio.sleep(1)
+
+    async def script() -> None:
+        await anyio.sleep(4)
+        request = submission(world)
+        assert (await world.ask_node("n0", request))[0] == 201
+        value = json.loads(json.dumps(world.state.keys[KEY][0]))
+        await write({"stage": "of a later format", "spec": 7})
+        for name in world.names:
+            for asked in (POLL, request, CANCELLATION):
+                answers.append((await world.ask_node(name, asked))[0])
+        await write(value | {"stage": "cancelled"})
+        for name in world.names:
+            assert (await world.ask_node(name, POLL))[1]["stage"] == "withdrawn"
+
+    run_script(world, 30.0, script)
+    assert world.broken == []
+    assert answers == [503] * 9
+
+
+class PagesWithoutEnd:
+    """A state service of which a page says that more comes, and has no items."""
+
+    async def request(
+        self, method: str, target: str, body: bytes | None, within: float
+    ) -> tuple[int, bytes]:
+        if "since" in target:
+            return 200, b'{"items":[],"more":true,"ledger":9}'
+        return 200, b'{"items":[{"key":"dw/a","data":1,"stamp":3}],"more":true,"ledger":9}'
+
+
+def test_a_listing_that_breaks_off_is_not_taken_for_whole() -> None:
+    """Jobs that come after would count as removed, and users be told that there are none."""
+
+    async def script() -> None:
+        client = StateClient(PagesWithoutEnd(), 100.0, 100.0)  # type: ignore[arg-type]
+        with pytest.raises(Refused):
+            await client.listing("dw/")
+
+    run_day(script)
+
+
+# Refusals
+
+
+def test_a_known_job_is_not_refused_where_the_catalogue_has_changed() -> None:
+    """The controller has not read the job yet, and now knows only machines too small for it."""
+    world = World(1)
+    answers: list[tuple[int, Any]] = []
+
+    async def script() -> None:
+        request = submission(world)
+        await over_elsewhere(world, request, "withdrawn")
+        small = {
+            name: replace(kind, cpus=0.1) for name, kind in world.nodes["n2"].mirror.types.items()
+        }
+        world.nodes["n2"].mirror.types = small
+        answers.append(await world.ask_node("n2", request))
+
+    run_script(world, 40.0, script)
+    assert world.broken == []
+    ((status, said),) = answers
+    assert status == 200 and said["stage"] == "withdrawn"
+
+
+# What peers tell of cancellations
+
+
+@pytest.mark.parametrize(
+    "change",
+    [
+        {"cancelled": [[0, JOB]]},
+        {"cancelled": [[-3, JOB]]},
+        {"cancelled": [[1 << 64, JOB]]},
+        {"cancelled": [["7", JOB]]},
+        {"cancelled": [[7, JOB + "/0"]]},
+        {"cancelled": [[7, 12]]},
+        {"cancelled": [[7, JOB], [8]]},
+        {"cancelled": [[7, JOB]] * 3000},
+        {"cancelled": 3},
+        {"since": None},
+        {"revision": "x"},
+        {"heard": []},
+        {"heard": {"a": [1, 2]}},
+        {"complete": "yes"},
+    ],
+)
+def test_a_malformed_list_of_cancellations_cancels_nothing(change: dict[str, Any]) -> None:
+    peer, mirror = NodeName("b"), Mirror()
+    mirror.put(KEY, JobRecord(SPEC, 1.0).dump(), 3)
+    watch = CancellationWatch("boot-a", [peer], 2)
+    message = CancellationWatch("boot-b", [NodeName("a")], 2).message(5.0, Mirror(), True)
+    with pytest.raises(ValueError):
+        watch.hear(6.0, NodeName("a"), peer, message | change, mirror)
+    assert mirror.jobs[JobId(JOB)].open and mirror.cancellations(0) == []
+    assert watch.known_at(7.0) < 0
+
+
+def test_a_list_of_cancellations_is_taken_over() -> None:
+    """The same message, well-formed: what the test before changes is what matters."""
+    peer, mirror = NodeName("b"), Mirror()
+    mirror.put(KEY, JobRecord(SPEC, 1.0).dump(), 3)
+    message = CancellationWatch("boot-b", [NodeName("a")], 2).message(5.0, Mirror(), True)
+    listed = message | {"cancelled": [[7, JOB]]}
+    CancellationWatch("boot-a", [peer], 2).hear(6.0, NodeName("a"), peer, listed, mirror)
+    assert not mirror.jobs[JobId(JOB)].open and mirror.cancellations(0) == [(7, JOB)]
+
+
+# Changes that are told late
+
+
+def test_an_answer_that_was_overtaken_brings_nothing_back() -> None:
+    """More keys were removed since than are remembered; a watch that was asked before tells of
+    what was there before that."""
+    value = {"type": "g8", "zone": "a", "spot": False, "count": 1, "at": 1.0}
+    mirror, keys = Mirror(), [f"{BOOKINGS}{n}" for n in range(GONE_LEAST + 10)]
+    late = [Event(n + 1, put=key, value=value) for n, key in enumerate(keys)]
+    removals = [Event(len(keys) + n + 1, delete=key) for n, key in enumerate(keys)]
+    mirror.follow([*late, *removals], 20 * len(keys))
+    mirror.follow([], 40 * len(keys))
+    mirror.remove(f"{BOOKINGS}last", 40 * len(keys) + 1)
+    mirror.follow(late, len(keys))
+    assert mirror.bookings == {} and mirror.versions == {}
+    assert mirror.revision == 40 * len(keys)
+
+
+def test_removed_keys_are_not_remembered_for_ever() -> None:
+    mirror = Mirror()
+    for n in range(1, 60_000):
+        mirror.remove(f"{BOOKINGS}{n}", n)
+        mirror.follow([], n)
+    assert len(mirror._gone) <= 2 * CHANGES_KEPT + 1
+
+
 # Drawn days
 
 
--- a/tests/test_checks_can_fail.py
+++ b/tests/test_checks_can_fail.py
@@ -9,6 +9,7 @@
 from dapplewick.core.leader import LeaderCore
 from dapplewick.core.part import PartCore
 from dapplewick.node import Node
+from dapplewick.types import Seconds
 from standins import World
 from test_days import Fault, all_crash, cut_from_state, lost_answers, play, quick_restarts, quiet
 
@@ -34,8 +35,8 @@
 
 
 def no_check_that_the_mirror_is_current(patch: pytest.MonkeyPatch) -> None:
-    async def unchecked(self: Node) -> None:
-        return
+    async def unchecked(self: Node) -> Seconds:
+        return self.now()
 
     patch.setattr(Node, "current", unchecked)
 
--- a/tests/test_meetings.py
+++ b/tests/test_meetings.py
@@ -54,9 +54,10 @@
 ) -> tuple[int, dict[str, Any]]:
     """A user's request to one controller."""
     path = f"/v2/runs/{job}" + (f"/{verb}" if verb else "")
+    question = world.history.ask(job, verb or "poll")
     answer = await world.nodes[name].handle(Request(method, path, b"", False))
     assert answer.status != 503 or answer.retry_after
-    return answer.status, json.loads(answer.body)
+    return answer.status, world.note_answer(question, name, answer)
 
 
 async def cancel(world: World, name: str, jobs: list[str]) -> None:
