Calls of the cloud are a module; constants say what they bound (no change of behaviour)

FRESH_S, DEAF_AGAIN, FORGET_MOST, LAST_CALL_S, ON and the ranks SOON, NEXT, LATER are named for what they are.

--- /dev/null
+++ b/src/dapplewick/cloud.py
@@ -0,0 +1,176 @@
+"""The leader's calls of the cloud: rentals, deletions, the catalogue and the list of machines."""
+
+from __future__ import annotations
+
+import logging
+from typing import Protocol
+
+import anyio
+from anyio.abc import TaskGroup
+
+from dapplewick.core.leader import LeaderCore
+from dapplewick.protocol import wire
+from dapplewick.storage.client import Budget
+from dapplewick.storage.records import Mirror
+from dapplewick.transport.http import HttpError
+from dapplewick.types import MachineId, Seconds
+
+log = logging.getLogger("dapplewick.cloud")
+
+STEP_S = 0.1  # how often is looked for something to call the cloud for
+NO_LEADER_STEP_S = 0.3  # and where this controller does not lead
+CATALOG_S = 45.0
+LIST_S = 10.0
+CALL_S = 6.0
+FAILURE_PAUSE_S = 1.0
+MAX_DELETIONS = 100  # machines in one call
+PAGE = 500  # machines in one page of the list
+MAX_LISTED = 20_000
+
+
+class CloudConnection(Protocol):
+    """Carries requests to the cloud."""
+
+    async def request(
+        self, method: str, target: str, body: bytes | None, within: float
+    ) -> tuple[int, bytes]: ...
+
+
+class LeaderNode(Protocol):
+    """What the calls need of their controller."""
+
+    @property
+    def leader(self) -> LeaderCore | None: ...
+
+    @property
+    def mirror(self) -> Mirror: ...
+
+    @property
+    def cloud(self) -> CloudConnection: ...
+
+    @property
+    def cloud_budget(self) -> Budget: ...
+
+    def now(self) -> Seconds: ...
+
+    def lease_valid(self) -> bool: ...
+
+    def wake_leader(self, at_once: bool = False) -> None: ...
+
+
+class CloudCalls:
+    """Carries out what the leader's records say is to be rented or deleted."""
+
+    def __init__(self, node: LeaderNode) -> None:
+        self._node = node
+        self._renting: set[str] = set()
+        self._deleting: set[MachineId] = set()
+
+    async def run(self) -> None:
+        """Call the cloud for as long as this controller leads, for ever."""
+        catalog_at = list_at = -1e9
+        async with anyio.create_task_group() as group:
+            while True:
+                await anyio.sleep(STEP_S)
+                leader = self._node.leader
+                if leader is None or not self._node.lease_valid():
+                    catalog_at = list_at = -1e9
+                    await anyio.sleep(NO_LEADER_STEP_S)
+                    continue
+                now = self._node.now()
+                self._start_rentals(group, leader)
+                self._start_deletion(group, leader)
+                if now - catalog_at > CATALOG_S and self._node.cloud_budget.take():
+                    catalog_at = now
+                    if not await self._catalog(leader):
+                        catalog_at = now - CATALOG_S + FAILURE_PAUSE_S
+                if now - list_at > LIST_S and self._node.cloud_budget.take():
+                    list_at = now
+                    await self._list(leader)
+
+    def _start_rentals(self, group: TaskGroup, leader: LeaderCore) -> None:
+        for name in self._node.mirror.bookings:
+            new = name not in self._renting and name not in leader.rented
+            if new and self._node.cloud_budget.take():
+                self._renting.add(name)
+                group.start_soon(self._rent, leader, name)
+
+    def _start_deletion(self, group: TaskGroup, leader: LeaderCore) -> None:
+        doomed = [
+            machine
+            for machine, record in self._node.mirror.machines.items()
+            if record.doomed
+            and machine not in leader.book.deleted
+            and machine not in self._deleting
+        ][:MAX_DELETIONS]
+        if doomed and self._node.cloud_budget.take():
+            self._deleting.update(doomed)
+            group.start_soon(self._delete, leader, doomed)
+
+    async def _call(self, method: str, target: str, body: bytes | None) -> tuple[int, bytes]:
+        try:
+            return await self._node.cloud.request(method, target, body, CALL_S)
+        except HttpError as err:
+            return 0, str(err).encode()
+
+    async def _rent(self, leader: LeaderCore, name: str) -> None:
+        try:
+            booking = self._node.mirror.bookings[name]
+            body = wire.rent_body(name, booking.type, booking.zone, booking.spot, booking.count)
+            status, answer = await self._call("POST", "/hosts", body)
+            if status == 200:
+                leader.booking_answered(name, wire.parse_rented(answer))
+            elif status == 400 or (status == 503 and b"no capacity" in answer):
+                leader.booking_answered(name, None)
+            else:
+                log.info("event=rent_failed booking=%s status=%d", name, status)
+                await anyio.sleep(FAILURE_PAUSE_S)
+            self._node.wake_leader()
+        except Exception:
+            log.exception("event=rent_broken booking=%s", name)
+        finally:
+            self._renting.discard(name)
+
+    async def _delete(self, leader: LeaderCore, machines: list[MachineId]) -> None:
+        try:
+            status, _ = await self._call("POST", "/hosts/delete", wire.delete_body(machines))
+            if status == 200:
+                leader.machines_deleted(machines)
+                # What was on them can start elsewhere once the records say that they are gone.
+                self._node.wake_leader(at_once=True)
+            else:
+                log.info("event=delete_failed count=%d status=%d", len(machines), status)
+                await anyio.sleep(FAILURE_PAUSE_S)
+        except Exception:
+            log.exception("event=delete_broken")
+        finally:
+            self._deleting.difference_update(machines)
+
+    async def _catalog(self, leader: LeaderCore) -> bool:
+        status, answer = await self._call("GET", "/catalog", None)
+        try:
+            if status == 200:
+                leader.catalog(wire.parse_catalog(answer))
+                self._node.wake_leader()
+                return True
+        except Exception as err:
+            log.error("event=catalog_refused error=%s", err)
+        return False
+
+    async def _list(self, leader: LeaderCore) -> None:
+        machines: list[wire.Listed] = []
+        since = ""
+        try:
+            while True:
+                target = f"/hosts?limit={PAGE}" + (f"&since={since}" if since else "")
+                status, answer = await self._call("GET", target, None)
+                if status != 200:
+                    return
+                page = wire.parse_list(answer)
+                machines += page.machines
+                if not page.more or not page.machines or len(machines) > MAX_LISTED:
+                    break
+                since = page.machines[-1].machine
+            leader.machines_listed(self._node.now(), wire.MachineList(machines))
+        except Exception as err:
+            log.error("event=list_refused error=%s", err)
--- a/src/dapplewick/core/machines.py
+++ b/src/dapplewick/core/machines.py
@@ -25,7 +25,7 @@
 
 log = logging.getLogger("dapplewick.leader")
 
-SOON, NEXT, LATER = 0, 1, 2  # ranks of changes
+RANK_URGENT, RANK_NORMAL, RANK_LOW = 0, 1, 2  # ranks of changes
 UP_S = 1.0  # machines of a group that came up are told of this often
 GROUP_MOST = 150  # machines in a record, where a value may hold as many
 GROUP_BYTES = 200  # of a record, beside its machines
@@ -171,10 +171,10 @@
     def _put(self, name: str, group: GroupRecord, tied: str = "") -> Change:
         key = MACHINES + name
         value = msgspec.to_builtins(group)
-        return Change(key, value, self.mirror.version(key), SOON, tied=tied)
+        return Change(key, value, self.mirror.version(key), RANK_URGENT, tied=tied)
 
     def _removal(self, name: str) -> Change:
-        return Change(MACHINES + name, None, self.mirror.version(MACHINES + name), SOON)
+        return Change(MACHINES + name, None, self.mirror.version(MACHINES + name), RANK_URGENT)
 
     def _free_names(self, name: str, count: int) -> list[str]:
         """Unused names for groups beside this one."""
@@ -200,7 +200,7 @@
     def _set(self, machine_id: MachineId, state: str, rank: int) -> None:
         self._draft(self.mirror.group_of[machine_id], rank).machines[machine_id] = state
 
-    def doom(self, machine_id: MachineId, why: str, rank: int = SOON) -> None:
+    def doom(self, machine_id: MachineId, why: str, rank: int = RANK_URGENT) -> None:
         log.info("event=machine_doomed machine=%s reason=%s", machine_id, why)
         self._set(machine_id, DOOMED, rank)
 
@@ -210,7 +210,7 @@
         """The machines of a rental: one record for all of them."""
         new = [m for m in machines if m not in self.mirror.machines and m not in self.deleted]
         if new:
-            self._add(new, booking.type, booking.zone, booking.spot, wall, name, SOON)
+            self._add(new, booking.type, booking.zone, booking.spot, wall, name, RANK_URGENT)
 
     def _add(
         self, machines: list[MachineId], type_: str, zone: str, spot: bool, wall: Seconds,
@@ -261,7 +261,7 @@
             if record.doomed:
                 if machine_id in self.deleted:
                     name = self.mirror.group_of[machine_id]
-                    self._draft(name, SOON).machines.pop(machine_id, None)
+                    self._draft(name, RANK_URGENT).machines.pop(machine_id, None)
                     self._up_since.pop(machine_id, None)
                 continue
             body = heard.get(machine_id)
@@ -274,13 +274,13 @@
             # All that came up in a while is written together: hundreds do at the start.
             if now - self._up_at.get(name, -1e9) >= UP_S:
                 for machine_id in machines:
-                    self._set(machine_id, UP, NEXT)
+                    self._set(machine_id, UP, RANK_NORMAL)
         # Lists lag: a machine that is gone may still be listed for twice the lag.
         patience = 2.5 * self.lag_s
         for machine_id, since in self._unknown_since.items():
             item = self.listed[machine_id]
             if now - since > patience and item.zone in zones:
-                self.adopt(machine_id, item.type, item.zone, item.spot, wall, LATER)
+                self.adopt(machine_id, item.type, item.zone, item.spot, wall, RANK_LOW)
 
     def _urgent_silence(self, others_heard: bool) -> Seconds:
         """After which silence a machine is deleted so that its replicas can run elsewhere.
--- a/src/dapplewick/core/part.py
+++ b/src/dapplewick/core/part.py
@@ -18,7 +18,7 @@
 from dapplewick.core.part_state import (
     ASSIGNED,
     FINISHED,
-    ON,
+    ON_MACHINE,
     RETURNED,
     UNSURE,
     WAITING,
@@ -56,15 +56,17 @@
 SAMPLE = 12  # machines looked at when a single joins
 MAX_QUEUE = 8  # singles waiting behind one slot
 LONG_WAIT_S = 15.0  # a single that waited this long goes back to the leader
-FRESH_S = 6.0  # a machine silent for longer takes no new work
+MAX_REPORT_AGE_S = 6.0  # a machine silent for longer takes no new work
 GRACE_S = 5.0  # over a task's own saving time, when it is stopped in order
 RETRY_S = 2.0  # first pause after a failure, doubled with each further one
 OVERRUN = 0.2  # a task that ran on beyond its estimate is expected to go on for this share
 LOST_STARTS = 3  # reports in a row that miss what was sent, until no more is sent
 DEAF_SHARE = 0.95  # of a lease: a session that ends within this time of a report was not silent
-DEAF_AGAIN = 4.0  # leases within which a second session ends on a machine that hears nothing
+SECOND_SESSION_LEASES = (
+    4.0  # leases within which a second session ends on a machine that hears nothing
+)
 FORGET_S = 5.0  # a stored result is forgotten with the next orders, or after this time
-FORGET_MOST = 16  # or when there are so many
+MAX_STORED_RESULTS = 16  # or when there are so many
 FAULTY = 4  # failures in a row, of different jobs, that make a machine suspect
 REPLICA_WAIT_S = 4.0  # and a replica sooner
 STEADY_S = 30.0  # a replica that ran for as long did not fail at once
@@ -258,7 +260,7 @@
             # A lease that ended while we answered its reports: the answers don't reach it. It
             # asks all controllers in turn, so its reports here may also be a lease apart; then
             # the second end soon after the first tells.
-            again = now - machine.renewed < self._lease_s * DEAF_AGAIN
+            again = now - machine.renewed < self._lease_s * SECOND_SESSION_LEASES
             if again or now - machine.settled < self._lease_s * DEAF_SHARE:
                 machine.deaf = True
                 log.info("event=machine_deaf machine=%s", machine.id)
@@ -313,7 +315,7 @@
         for task in [t for t in stored if t not in machine.live]:
             del stored[task]
         oldest = min(stored.values(), default=now)
-        if not (now_anyway or len(stored) >= FORGET_MOST or now - oldest > FORGET_S):
+        if not (now_anyway or len(stored) >= MAX_STORED_RESULTS or now - oldest > FORGET_S):
             return []
         orders = [Order("forget", t, machine.live[t].attempt) for t in stored]
         for task in stored:
@@ -394,7 +396,7 @@
             and not record.doomed
             and machine.heard
             and machine.notice is None
-            and now - machine.last < FRESH_S
+            and now - machine.last < MAX_REPORT_AGE_S
             and not self.faulty(now, machine)
             and not machine.slow
             and not machine.drain
@@ -546,7 +548,7 @@
     def _present(self, now: Seconds, machine: Machine, item: TaskReport) -> None:
         single = self._single(item.task)
         if single is not None:
-            if single.state == ON:
+            if single.state == ON_MACHINE:
                 if single.machine != machine.id:
                     log.error("event=two_places task=%s/%d", item.task.job, item.task.number)
                 return
@@ -554,7 +556,7 @@
                 log.error("event=unexpected_task task=%s/%d", item.task.job, item.task.number)
             if single.state != FINISHED:
                 self._drop(item.task, single)
-                self._set(item.task, single, ON)
+                self._set(item.task, single, ON_MACHINE)
                 single.machine = machine.id
             return
         hold = self.holds.get(item.task.job)
@@ -607,7 +609,7 @@
         if item.cause in ("error", "no_such"):
             machine.failures[task.job] = now
         self._remove_live(machine, task)
-        if single is not None and single.machine == machine.id and single.state == ON:
+        if single is not None and single.machine == machine.id and single.state == ON_MACHINE:
             if replica and live.running_at is not None and now - live.running_at > STEADY_S:
                 single.fails = 0
             self._again(now, task, single, failed=item.cause not in ("halted", "full", "peers"))
@@ -651,7 +653,7 @@
         self.dirty = True
         single = self._single(task)
         if single is not None and single.machine == machine.id:
-            if single.state in (ON, FINISHED):
+            if single.state in (ON_MACHINE, FINISHED):
                 # A result that vanished before it was stored has to be made again.
                 self._again(now, task, single, failed=False)
             return
@@ -948,7 +950,7 @@
                     continue
                 if single is not None and single.state == ASSIGNED:
                     orders.append(self._start(now, machine, task, self._new_attempt()))
-                    self._set(task, single, ON)
+                    self._set(task, single, ON_MACHINE)
                     single.queue = None
                 else:
                     slot.current = None
--- a/src/dapplewick/core/part_state.py
+++ b/src/dapplewick/core/part_state.py
@@ -19,7 +19,7 @@
 IMAGES_MOST = 64  # images remembered of a machine, the newest ones
 SLOW_SAMPLES = 12  # run times that are compared before a machine is called slow
 
-WAITING, ASSIGNED, ON, UNSURE, RETURNED, FINISHED = range(6)
+WAITING, ASSIGNED, ON_MACHINE, UNSURE, RETURNED, FINISHED = range(6)
 
 
 class Single:
--- a/src/dapplewick/core/part_status.py
+++ b/src/dapplewick/core/part_status.py
@@ -5,7 +5,7 @@
 from typing import TYPE_CHECKING, Any, TypeVar
 
 from dapplewick.core.model import GANG_RANK
-from dapplewick.core.part_state import ASSIGNED, FINISHED, ON, RETURNED, Hold, Machine
+from dapplewick.core.part_state import ASSIGNED, FINISHED, ON_MACHINE, RETURNED, Hold, Machine
 from dapplewick.types import JobId, MachineId, Seconds
 
 if TYPE_CHECKING:
@@ -135,7 +135,7 @@
     done, returned = [], []
     for index, single in core.singles[job_id].items():
         state = single.state
-        if state == ON:
+        if state == ON_MACHINE:
             placed += 1
             running += 1
         elif state == ASSIGNED:
--- a/src/dapplewick/core/replicas.py
+++ b/src/dapplewick/core/replicas.py
@@ -18,7 +18,9 @@
 
 log = logging.getLogger("dapplewick.part")
 
-LAST_CALL_S = 6.0  # a replica is stopped so long before its machine is taken, wherever it can go
+EVICTION_LEAD_S = (
+    6.0  # a replica is stopped so long before its machine is taken, wherever it can go
+)
 STOP_COST_S = 4.0  # until what is stopped for a replica is gone, and what it loses
 # What a better place is worth, in seconds until the replica runs: away from the others of its
 # service, from machines that may be taken, and from accelerators.
@@ -93,7 +95,7 @@
     def must_leave(self, now: Seconds, machine: Machine, job_id: JobId, spec: JobSpec) -> bool:
         """Whether a replica is to leave its machine now: one that goes, or is no good place, as
         soon as another with its image has room, or at the last moment."""
-        if machine.notice is not None and machine.notice < LAST_CALL_S:
+        if machine.notice is not None and machine.notice < EVICTION_LEAD_S:
             return True
         if machine.notice is None and not machine.slow and not machine.drain:
             return False
--- a/src/dapplewick/node.py
+++ b/src/dapplewick/node.py
@@ -13,6 +13,7 @@
 import msgspec
 
 from dapplewick.api import NO_METHOD, NO_PATH, PATH, Api
+from dapplewick.cloud import CloudCalls
 from dapplewick.config import Settings, StateLimits, host_port
 from dapplewick.coordination.cancellations import CancellationWatch
 from dapplewick.coordination.parts import PartAssigner
@@ -49,11 +50,11 @@
     job_of,
     size_of,
 )
-from dapplewick.transport.http import Answer, HttpClient, HttpError, Request, serve_connection
+from dapplewick.transport.http import Answer, HttpClient, Request, serve_connection
 from dapplewick.transport.listen import Door, Mark
 from dapplewick.transport.peer import PeerLink, receive_frames
 from dapplewick.tuning import Tuning
-from dapplewick.types import JobId, MachineId, NodeName, Seconds, Token, Zone
+from dapplewick.types import JobId, NodeName, Seconds, Token, Zone
 
 log = logging.getLogger("dapplewick.node")
 
@@ -65,7 +66,6 @@
 MARGIN_S = 3.0
 PASS_S = 0.25
 STAND_S = 0.3  # a controller that does not lead looks this often whether it should
-CLOUD_S = 0.1
 TICK_S = 0.2  # parts tick, and tell what changed, this often
 TICK_MOST_S = 0.5  # or less often where that costs much; reports steal what joined no queue yet
 TICK_REST = 40.0  # after a tick this times its length passes
@@ -76,9 +76,6 @@
 CONTACT_S = 2.5  # a node that reached the state service in this time says so to its peers
 ASK_WITHIN_S = 1.0
 UNHEALTHY_S = 5.0  # and one that did not for so long, while a peer did, is not healthy
-CATALOG_S = 45.0
-LIST_S = 10.0
-CLOUD_CALL_S = 6.0
 SHARE = 0.9  # of the state service's limits that all controllers use together
 LEADER_WRITES = 0.8  # of them the leader's share
 LEAST_BURST = 6.0  # users come at once, so each node may accept some at once
@@ -168,8 +165,7 @@
         self._status_at: dict[Zone, Seconds] = {}
         # Up to which status of which part's owner the leader (a boot of a node) has them.
         self._confirmed: dict[Zone, tuple[Token, str, int]] = {}
-        self._renting: set[str] = set()
-        self._deleting: set[MachineId] = set()
+        self._cloud_calls = CloudCalls(self)
 
     # Time
 
@@ -498,108 +494,16 @@
             self.mirror.remove(key, version)
         self._apply_changed()
 
-    # Cloud
+    # What the leader's calls of the cloud need
 
-    async def _cloud_loop(self) -> None:
-        catalog_at = list_at = -1e9
-        async with anyio.create_task_group() as group:
-            while True:
-                await anyio.sleep(CLOUD_S)
-                leader = self.leader
-                if leader is None or not self.lease_valid():
-                    catalog_at = list_at = -1e9
-                    await anyio.sleep(STAND_S)
-                    continue
-                now = self.now()
-                for name in self.mirror.bookings:
-                    new = name not in self._renting and name not in leader.rented
-                    if new and self.cloud_budget.take():
-                        self._renting.add(name)
-                        group.start_soon(self._rent, leader, name)
-                doomed = [
-                    m
-                    for m, r in self.mirror.machines.items()
-                    if r.doomed and m not in leader.book.deleted and m not in self._deleting
-                ][:100]
-                if doomed and self.cloud_budget.take():
-                    self._deleting.update(doomed)
-                    group.start_soon(self._delete, leader, doomed)
-                if now - catalog_at > CATALOG_S and self.cloud_budget.take():
-                    catalog_at = now
-                    if not await self._catalog(leader):
-                        catalog_at = now - CATALOG_S + 1.0
-                if now - list_at > LIST_S and self.cloud_budget.take():
-                    list_at = now
-                    await self._list(leader)
-
-    async def _cloud_call(self, method: str, target: str, body: bytes | None) -> tuple[int, bytes]:
-        try:
-            return await self.cloud.request(method, target, body, CLOUD_CALL_S)
-        except HttpError as err:
-            return 0, str(err).encode()
-
-    async def _rent(self, leader: LeaderCore, name: str) -> None:
-        try:
-            booking = self.mirror.bookings[name]
-            body = wire.rent_body(name, booking.type, booking.zone, booking.spot, booking.count)
-            status, answer = await self._cloud_call("POST", "/hosts", body)
-            if status == 200:
-                leader.booking_answered(name, wire.parse_rented(answer))
-            elif status == 400 or (status == 503 and b"no capacity" in answer):
-                leader.booking_answered(name, None)
-            else:
-                log.info("event=rent_failed booking=%s status=%d", name, status)
-                await anyio.sleep(1.0)
-            self._leader_wake.set()
-        except Exception:
-            log.exception("event=rent_broken booking=%s", name)
-        finally:
-            self._renting.discard(name)
+    def wake_leader(self, at_once: bool = False) -> None:
+        """There is something to plan; at once if work waits for it."""
+        self._leader_wake.set()
+        if at_once:
+            self._hurry.set()
 
-    async def _delete(self, leader: LeaderCore, machines: list[MachineId]) -> None:
-        try:
-            status, _ = await self._cloud_call("POST", "/hosts/delete", wire.delete_body(machines))
-            if status == 200:
-                leader.machines_deleted(machines)
-                # What was on them can start elsewhere once the records say that they are gone.
-                self._leader_wake.set()
-                self._hurry.set()
-            else:
-                log.info("event=delete_failed count=%d status=%d", len(machines), status)
-                await anyio.sleep(1.0)
-        except Exception:
-            log.exception("event=delete_broken")
-        finally:
-            self._deleting.difference_update(machines)
-
-    async def _catalog(self, leader: LeaderCore) -> bool:
-        status, answer = await self._cloud_call("GET", "/catalog", None)
-        try:
-            if status == 200:
-                leader.catalog(wire.parse_catalog(answer))
-                self._leader_wake.set()
-                return True
-        except Exception as err:
-            log.error("event=catalog_refused error=%s", err)
-        return False
-
-    async def _list(self, leader: LeaderCore) -> None:
-        machines: list[wire.Listed] = []
-        since = ""
-        try:
-            while True:
-                target = "/hosts?limit=500" + (f"&since={since}" if since else "")
-                status, answer = await self._cloud_call("GET", target, None)
-                if status != 200:
-                    return
-                page = wire.parse_list(answer)
-                machines += page.machines
-                if not page.more or not page.machines or len(machines) > 20000:
-                    break
-                since = page.machines[-1].machine
-            leader.machines_listed(self.now(), wire.MachineList(machines))
-        except Exception as err:
-            log.error("event=list_refused error=%s", err)
+    async def _cloud_loop(self) -> None:
+        await self._cloud_calls.run()
 
     # Parts and peers
 
