--- a/tests/test_answers.py
+++ b/tests/test_answers.py
@@ -15,6 +15,7 @@
 
 from answer_days import play_answers
 from dapplewick.coordination.cancellations import CancellationWatch
+from dapplewick.node import Node
 from dapplewick.protocol.wire import Event, JobSpec
 from dapplewick.storage.client import Refused, StateClient
 from dapplewick.storage.records import (
@@ -25,7 +26,7 @@
     JobRecord,
     Mirror,
 )
-from dapplewick.transport.http import Request
+from dapplewick.transport.http import Answer, Request
 from dapplewick.types import JobId, NodeName
 from standins import AnswerHistory, World, now, run_day
 from test_days import run_script
@@ -38,7 +39,7 @@
 
 
 def submission(world: World, **fields: Any) -> Request:
-    world.jobs[JOB] = world.job(name_id=JOB, pieces=1, cpus=1.0, true_s=1.0, **fields)
+    world.jobs[JOB] = world.job(name_id=JOB, pieces=1, cpus=1.0, **{"true_s": 1.0, **fields})
     body = json.dumps({k: v for k, v in world.jobs[JOB].items() if k != "true_s"}).encode()
     return Request("POST", "/v2/runs", body, False)
 
@@ -335,6 +336,44 @@
     assert status == 200 and said["stage"] == "withdrawn"
 
 
+@pytest.mark.parametrize("stage", ["running", "done", "withdrawn"])
+def test_other_bodies_under_the_name_of_a_known_job_get_the_protocols_answer(stage: str) -> None:
+    """A retry of an accepted job is answered with its state, whatever else its body asks for;
+    one that is malformed is refused. Also by a controller that has not read the job yet."""
+    world = World(1)
+    seen: dict[str, list[tuple[int, Any]]] = {}
+
+    async def script() -> None:
+        request = submission(world, true_s=60.0 if stage == "running" else 1.0)
+        await over_elsewhere(world, request, stage)
+        body = json.loads(request.body)
+        bodies = {
+            "another": body | {"pieces": 7, "bundle": "y"},
+            "too large": body | {"cpus": 4000.0},
+            "unknown team": body | {"crew": "green"},
+            "malformed": body | {"pieces": "x"},
+            "incomplete": {"name_id": JOB},
+        }
+        for what, value in bodies.items():
+            raw = Request("POST", "/v2/runs", json.dumps(value).encode(), False)
+            seen[what] = [answer_and_stage(await node.handle(raw)) for node in behind_first(world)]
+
+    run_script(world, 60.0, script)
+    assert world.broken == []
+    assert set(seen["malformed"] + seen["incomplete"]) == {(400, None)}
+    for what in ("another", "too large", "unknown team"):
+        assert set(seen[what]) == {(200, stage)}
+
+
+def behind_first(world: World) -> list[Node]:
+    """The controllers, first the one that `over_elsewhere` left behind."""
+    return [world.nodes[name] for name in ("n2", "n0", "n1")]
+
+
+def answer_and_stage(answer: Answer) -> tuple[int, Any]:
+    return answer.status, json.loads(answer.body).get("stage")
+
+
 # What peers tell of cancellations
 
 
