The age of a read counts only for what may change; an unreadable job is known

Found in reading the mend once more: - a cancellation was refused where the read before it was older than 2 s, as on a controller short of processor time; its write names the version that it replaces, and a final state stays true, so neither needs a young read - a submission that fits no machine was answered 422 though its job is known and its newest record can't be parsed; now 503 (test) Names: what the users' interface needs is a Controller, the peers' message a CancellationMessage.

--- a/src/dapplewick/api.py
+++ b/src/dapplewick/api.py
@@ -9,7 +9,7 @@
 import msgspec
 
 from dapplewick.config import Deployment, StateLimits
-from dapplewick.job_states import JobStates, Records
+from dapplewick.job_states import JobStates, Records, UnreadableJob
 from dapplewick.protocol.wire import JobSpec, Malformed, job_view, parse_submission
 from dapplewick.storage.client import Conflict, Refused, StateClient, Unknown
 from dapplewick.storage.records import (
@@ -37,7 +37,7 @@
 NO_METHOD = Answer(405, b'{"error":"method not allowed"}')
 
 
-class World(Records, Protocol):
+class Controller(Records, Protocol):
     """What the interface needs of its controller."""
 
     state: StateClient
@@ -61,9 +61,9 @@
 class Api:
     """Answers users. Nothing is promised before it is stored."""
 
-    def __init__(self, world: World, deployment: Deployment) -> None:
-        self.world = world
-        self.states = JobStates(world)
+    def __init__(self, controller: Controller, deployment: Deployment) -> None:
+        self.controller = controller
+        self.states = JobStates(controller)
         self.deployment = deployment
         self.teams = {t.name: t for t in deployment.teams}
 
@@ -75,7 +75,7 @@
         """
         answer = await self.answer(request)
         if answer is UNAVAILABLE:
-            return await self.world.ask_peer(request) or answer
+            return await self.controller.ask_peer(request) or answer
         return answer
 
     async def answer(self, request: Request) -> Answer | None:
@@ -99,7 +99,7 @@
         return await self._guard(lambda: self.abort(JobId(job)))
 
     async def _guard(self, call: Callable[[], Awaitable[Answer]]) -> Answer:
-        if not self.world.ready:
+        if not self.controller.ready:
             return UNAVAILABLE
         try:
             return await call()
@@ -114,8 +114,8 @@
             return "unknown team"
         if spec.zone is not None and spec.zone not in self.deployment.zones:
             return "unknown zone"
-        names = spec.types if spec.types is not None else list(self.world.mirror.types)
-        types = [t for name in names if (t := self.world.mirror.types.get(name)) is not None]
+        names = spec.types if spec.types is not None else list(self.controller.mirror.types)
+        types = [t for name in names if (t := self.controller.mirror.types.get(name)) is not None]
         fitting = [t for t in types if spec.size.fits(t.size)]
         if not fitting:
             return "a task fits no allowed machine type"
@@ -144,12 +144,12 @@
             job_id, spec = parse_submission(request.body)
         except Malformed as err:
             return error(400, str(err))
-        mirror = self.world.mirror
+        mirror = self.controller.mirror
         if job_id in mirror.jobs:
             return await self._state_or(job_id, UNAVAILABLE)
         if spec.daemon and mirror.format < FORMAT_NOW:
             # The record decides, so all controllers answer alike; not what this one last read.
-            await self.world.current()
+            await self.controller.current()
             if mirror.format < FORMAT_NOW:
                 return NOT_YET
         if not mirror.types:
@@ -159,18 +159,18 @@
             return await self._refuse(job_id, error(422, reason))
         job = self._new_record(spec)
         value = job.dump()
-        if size_of(value) > self.world.limits_now().value_bytes:
+        if size_of(value) > self.controller.limits_now().value_bytes:
             return await self._refuse(job_id, error(400, "the texts are too long together"))
         return await self._accept(job_id, spec.tasks, value)
 
     def _new_record(self, spec: JobSpec) -> JobRecord:
         """The first record of a job that is about to be accepted."""
-        mirror = self.world.mirror
+        mirror = self.controller.mirror
         if spec.types is not None:
             known = sorted({t for t in spec.types if t in mirror.types})
             spec = msgspec.structs.replace(spec, types=known)
-        job = JobRecord(spec, self.world.wall())
-        zones, room = self.deployment.zones, self.world.limits_now().value_bytes
+        job = JobRecord(spec, self.controller.wall())
+        zones, room = self.deployment.zones, self.controller.limits_now().value_bytes
         if mirror.format >= FORMAT_NOW and not spec.gang and job.outgrows(zones, room):
             job.chunk = chunk_tasks(spec.tasks, zones, room)
         return job
@@ -180,13 +180,13 @@
         not what was to be written."""
         key = JOBS + job_id
         try:
-            version = await self.world.state.txn({key: 0}, {key: value})
+            version = await self.controller.state.txn({key: 0}, {key: value})
         except (Conflict, Unknown):
             # The job is known, or the answer was lost: of the transaction that accepted it, or
             # of one that was refused since the job is known, and may be over, elsewhere. If no
             # job is found the write may still come late; the user's retry finds it then.
             return await self._state_or(job_id, UNAVAILABLE)
-        self.world.stored(key, value, version)
+        self.controller.stored(key, value, version)
         log.info("event=accepted job=%s tasks=%d", job_id, tasks)
         return self._short(201, job_id, self.states.latest(job_id))
 
@@ -196,6 +196,8 @@
         these alone, as it always does for a job that nobody accepted."""
         try:
             return await self._state_or(job_id, refusal)
+        except UnreadableJob:
+            raise
         except Refused:
             return refusal
 
@@ -204,7 +206,7 @@
         job = await self.states.read(job_id)
         if job is None:
             return otherwise
-        running = self.world.running_tasks(job_id) if job.open else 0
+        running = self.controller.running_tasks(job_id) if job.open else 0
         stage = self._stage(job, running)
         return Answer(200, job_view(job_id, stage, job.done_count, running))
 
@@ -229,7 +231,7 @@
     async def abort(self, job_id: JobId) -> Answer:
         key = JOBS + job_id
         for _ in range(TRIES):
-            job = await self.states.read_anew(job_id)
+            job = await self.states.read_anew(job_id, for_change=True)
             if job is None:
                 return NOT_FOUND
             if not job.open:
@@ -239,13 +241,13 @@
             cancelled.grants = job.grants
             cancelled.gang = job.gang
             cancelled.chunk = job.chunk
-            value = cancelled.dump(self.world.limits_now().value_bytes)
+            value = cancelled.dump(self.controller.limits_now().value_bytes)
             try:
-                version = await self.world.state.txn({key: job.main_version}, {key: value})
+                version = await self.controller.state.txn({key: job.main_version}, {key: value})
             except (Conflict, Unknown):
                 # Read again in the next round; a late write fails or does the same.
                 continue
-            self.world.stored(key, value, version)
+            self.controller.stored(key, value, version)
             log.info("event=cancelled job=%s", job_id)
             return self._short(200, job_id, self.states.latest(job_id))
         return UNAVAILABLE
--- a/src/dapplewick/coordination/cancellations.py
+++ b/src/dapplewick/coordination/cancellations.py
@@ -22,10 +22,10 @@
 from dapplewick.types import JobId, NodeName, Revision, Seconds
 
 HEARD_S = 10.0  # a peer not heard for longer is not waited for with what it has not read
-LISTED_MOST = 2000  # cancellations in one message; with more of them it assures nothing
+MAX_LISTED = 2000  # cancellations in one message; with more of them it assures nothing
 
 
-class _Told(msgspec.Struct):
+class CancellationMessage(msgspec.Struct):
     """What a peer's message says of cancellations; `CancellationWatch.message` makes it."""
 
     at: float
@@ -39,7 +39,7 @@
     def check(self) -> None:
         """Raise ValueError for a list that no controller sends. It is refused whole: what it
         names would count as cancelled."""
-        if len(self.cancelled) > LISTED_MOST:
+        if len(self.cancelled) > MAX_LISTED:
             raise ValueError("too many cancellations")
         for version, job in self.cancelled:
             if not 0 < version < MAX_COUNT or not JOB_ID.match(job):
@@ -63,7 +63,7 @@
         read = [r for at, r in self._revisions.values() if now - at < HEARD_S]
         since = min(read, default=mirror.revision)
         listed = mirror.cancellations(since)
-        if len(listed) > LISTED_MOST:
+        if len(listed) > MAX_LISTED:
             ready = False
         return {
             "at": now,
@@ -82,15 +82,15 @@
         """A peer's message; what it lists goes into the mirror. Raises if it is malformed."""
         if peer not in self._peers or "heard" not in said:
             return  # not of this deployment, or of a version that knows nothing of this
-        told = msgspec.convert(said, type=_Told)
-        told.check()
-        boot, at = told.heard.get(me, ("", 0.0))
-        self._questions[peer] = (told.boot, told.at)
-        self._revisions[peer] = (now, Revision(told.revision))
-        for version, job in told.cancelled:
+        message = msgspec.convert(said, type=CancellationMessage)
+        message.check()
+        boot, at = message.heard.get(me, ("", 0.0))
+        self._questions[peer] = (message.boot, message.at)
+        self._revisions[peer] = (now, Revision(message.revision))
+        for version, job in message.cancelled:
             mirror.told_cancelled(JobId(job), version)
         # A list that begins after what we have read may lack some.
-        if told.complete and boot == self._boot and told.since <= mirror.revision:
+        if message.complete and boot == self._boot and message.since <= mirror.revision:
             self._answered[peer] = max(at, self._answered.get(peer, at))
 
     def known_at(self, now: Seconds) -> Seconds:
--- a/src/dapplewick/job_states.py
+++ b/src/dapplewick/job_states.py
@@ -24,6 +24,10 @@
 ANSWER_AGE_S = 2.0
 
 
+class UnreadableJob(Refused):
+    """The newest record of a job can't be parsed: it is known, and nothing can be said of it."""
+
+
 class Records(Protocol):
     """A copy of the records that can be brought up to date."""
 
@@ -47,15 +51,21 @@
             return job
         return await self.read_anew(job_id)
 
-    async def read_anew(self, job_id: JobId) -> JobRecord | None:
-        """A job as it stands by a read that begins now; None if there is none."""
+    async def read_anew(self, job_id: JobId, *, for_change: bool = False) -> JobRecord | None:
+        """A job as it stands by a read that begins now; None if there is none.
+
+        The age of the read does not matter for a final state, nor for a job that is read to be
+        changed: the write names the version that it replaces.
+        """
         asked_at = await self._records.current()
-        if self._records.now() - asked_at > ANSWER_AGE_S:
+        job = self.latest(job_id)
+        lasting = job is not None and (for_change or not job.open)
+        if not lasting and self._records.now() - asked_at > ANSWER_AGE_S:
             raise Refused("the records were read too long ago")
-        return self.latest(job_id)
+        return job
 
     def latest(self, job_id: JobId) -> JobRecord | None:
         """A job by what was read so far, where a read or a write of it has just ended."""
         if JOBS + job_id in self._records.mirror.unreadable:
-            raise Refused("the newest record of the job can't be read")
+            raise UnreadableJob(job_id)
         return self._records.mirror.jobs.get(job_id)
