--- a/tests/answer_days.py
+++ b/tests/answer_days.py
@@ -14,9 +14,11 @@
 
 import anyio
 
+from dapplewick.storage.records import LEADER
 from dapplewick.transport.http import Request
 from rolls import lower_limits
 from standins import World, now, run_day
+from test_meetings import leader
 
 POLL_WAIT_S, CHANGE_WAIT_S = 2.0, 5.0  # how long users wait for an answer
 LENGTH_S = 100.0
@@ -28,10 +30,10 @@
 
 
 def _leader_or(world: World, name: str) -> str:
-    record = world.state.keys.get("dw/leader")
-    if record is None or world.random.random() < 0.5:
+    """The leader, half of the times that there is one; else the controller that was drawn."""
+    if LEADER not in world.state.keys or world.random.random() < 0.5:
         return name
-    return str(record[0]["node"])
+    return leader(world)
 
 
 async def _restart(world: World, name: str) -> None:
