--- a/run.py
+++ b/run.py
@@ -1,10 +1,15 @@
-"""Start one controller from a checkout, with the libraries built into target/deps."""
+"""Start one controller, from a checkout or from the copy that the build makes of it.
 
+The build compiles that copy, `target/app`, and the libraries beside it in `target/deps`: reading
+the sources anew took a third of a start's processor time.
+"""
+
+import os
 import sys
-from pathlib import Path
 
-ROOT = Path(__file__).resolve().parent
-sys.path[:0] = [str(ROOT / "src"), str(ROOT / "target" / "deps")]
+ROOT = os.path.dirname(os.path.abspath(__file__))
+DEPS = [os.path.join(ROOT, "target", "deps"), os.path.join(os.path.dirname(ROOT), "deps")]
+sys.path[:0] = [os.path.join(ROOT, "src"), *filter(os.path.isdir, DEPS)]
 
 from dapplewick.service import start  # noqa: E402
 
--- a/tests/test_sockets.py
+++ b/tests/test_sockets.py
@@ -2,13 +2,17 @@
 
 from __future__ import annotations
 
+import importlib.util
 import json
 import os
 import random
+import shutil
 import socket
 import subprocess
 import sys
+import sysconfig
 import tempfile
+import tomllib
 from collections.abc import Iterator
 from pathlib import Path
 from typing import Any
@@ -222,6 +226,31 @@
     assert len(lines) == 1 and field in lines[0]
 
 
+def test_what_the_build_makes_starts_compiled_and_without_site_packages(tmp_path: Path) -> None:
+    """Nothing of the program is compiled at a start: where no cache may be written that took
+    more than half of a start's processor time."""
+    deploy = tomllib.loads((ROOT / "deploy" / "service.toml").read_text())
+    install, _, make = deploy["build"].partition("} && ")
+    assert "pip install" in install
+    shutil.copy(ROOT / "run.py", tmp_path / "run.py")
+    shutil.copytree(ROOT / "src", tmp_path / "src")
+    (tmp_path / "target").mkdir()
+    os.symlink(sysconfig.get_path("purelib"), tmp_path / "target" / "deps")
+    subprocess.run(["sh", "-c", make.replace("python3", sys.executable)], cwd=tmp_path, check=True)
+    copy = tmp_path / "target" / "app" / "src" / "dapplewick"
+    for source in copy.rglob("*.py"):
+        assert Path(importlib.util.cache_from_source(str(source))).exists(), source
+        source.write_text("raise SystemExit('this was compiled at the start')")
+    command = deploy["run"].split()
+    assert command[:2] == ["python3", "-S"]
+    done = subprocess.run(
+        [sys.executable, *command[1:], "nowhere.json"], cwd=tmp_path, capture_output=True
+    )
+    assert (done.returncode, done.stderr.decode()) == (
+        2, "dapplewick: settings: nowhere.json: No such file or directory\n",
+    )  # fmt: skip
+
+
 def test_past_its_limit_a_listener_gives_up_idle_connections_and_never_ends(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
