Slots of a gang's size are kept from singles while gangs wait, where singles have smaller machines

Idle slots were kept for gangs that are expected, not for those that wait. Ruled out: processor time (0.2 to 0.4 of a share), machines returned. Only where a part has machines too small for a gang's task: else a stream of gangs would starve singles.

--- a/src/dapplewick/core/demand.py
+++ b/src/dapplewick/core/demand.py
@@ -90,13 +90,16 @@
         self._seen: dict[JobId, None] = {}
         self.size = NOTHING
         self.rank = 0
-        self.slots = 0.0
+        self.slots = 0.0  # for gangs that are expected
+        self.waiting = 0  # tasks of gangs that have no place yet
 
     def update(self, now: Seconds) -> None:
-        fresh = 0
+        fresh = waiting = 0
         in_the_way = -1
         for job_id, job in self.mirror.each_live():
             spec = job.spec
+            if spec.gang and job.open and job.gang is None:
+                waiting += spec.tasks
             if job.open and not spec.gang and not spec.daemon and spec.gpus == 0:
                 in_the_way = max(in_the_way, job.spec.rank)
             if job.spec.gang and job_id not in self._seen:
@@ -117,13 +120,21 @@
         mean = self._count / (weight * MEMORY_S) * GANG_WINDOW_S
         # Gangs also end, about as many as come; what matters is how far both stray by chance.
         wanted = self._factor * 1.5 * math.sqrt(2.0 * mean)
-        self.slots = wanted if in_the_way >= self.rank else 0.0
+        displaced = in_the_way < self.rank
+        self.slots = 0.0 if displaced else wanted
+        self.waiting = 0 if displaced else waiting
+
+    def kept_slots(self, elsewhere: bool) -> float:
+        """How many idle slots of the gangs' size are kept from singles. Those of gangs that wait
+        count only where singles can also go `elsewhere`, to machines too small for a gang's
+        task: without that a constant stream of gangs would starve them."""
+        return self.slots + self.waiting if elsewhere else self.slots
 
     def applies(self, spec: JobSpec) -> bool:
         """Whether this work would be in the way of gangs."""
         if spec.gang or spec.daemon or spec.gpus > 0:
             return False
-        return spec.rank >= self.rank and self.slots >= 0.5
+        return spec.rank >= self.rank and self.slots + self.waiting >= 0.5
 
     def rest(self, free: Size) -> Size:
         """A room less the whole slots of the gangs' size in it."""
--- a/src/dapplewick/core/model.py
+++ b/src/dapplewick/core/model.py
@@ -321,6 +321,7 @@
         self._lowest: int | None = None
         self._kept: GangDemand | None = None
         self._idle: int | None = None
+        self._elsewhere: bool | None = None  # whether some machine is too small for gangs
 
     def changed(self) -> None:
         """Room was taken here."""
@@ -439,11 +440,14 @@
 
     def keep_for_gangs(self, gangs: GangDemand, share: float) -> None:
         """Mark the rooms if there are no more idle slots than are to be kept for gangs."""
-        if gangs.slots < 0.5:
+        if self._elsewhere is None:
+            self._elsewhere = any(not gangs.size.fits(v.capacity) for v in self.views)
+        slots = gangs.kept_slots(self._elsewhere)
+        if slots < 0.5:
             return
         if self._idle is None:
             self._idle = sum(gangs.size.times_in(v.free) for v in self.open)
-        kept = gangs if self._idle <= math.ceil(gangs.slots * share) else None
+        kept = gangs if self._idle <= math.ceil(slots * share) else None
         if kept is not self._kept:
             self._kept = kept
             self._totals.clear()
--- a/src/dapplewick/core/part.py
+++ b/src/dapplewick/core/part.py
@@ -348,7 +348,7 @@
             self._speed.update(self.machines.values())
             self.demand.update(now, wall)
             self.gang_demand.update(now)
-            self._few = self.gang_demand.slots >= 0.5 and self._few_slots()
+            self._few = self._few_slots()
             for machine in self.machines.values():
                 if not self._note_usable(now, machine) and machine.slots:
                     self._requeue_slots(machine)
@@ -430,10 +430,13 @@
 
     def _few_slots(self) -> bool:
         """Whether no more idle slots are left here than are kept for gangs."""
-        share = self.gang_demand.slots / max(1, len(self.mirror.parts))
         size = self.gang_demand.size
+        elsewhere = any(m.was_usable and not size.fits(m.capacity) for m in self.machines.values())
+        kept = self.gang_demand.kept_slots(elsewhere)
+        if kept < 0.5:
+            return False
         idle = sum(size.times_in(m.free()) for m in self.machines.values())
-        return idle <= math.ceil(share)
+        return idle <= math.ceil(kept / max(1, len(self.mirror.parts)))
 
     def _held_on(self, machine_id: MachineId) -> list[tuple[JobId, Hold, int]]:
         """Held slots of this machine whose start has not gone out."""
