More machines are asked for in a pass, by the cloud's calls; frames for 4,000 machines

Now as many as half of the cloud's calls take. A frame between controllers may hold 32 MiB: at 4 MiB the status of a part with 4,000 machines of 24 tasks each was refused, and would have been for ever. tests/test_size.py plays 4,000 machines through a start, placing, a cancellation and a change of leader, over the stand-ins' links, which keep to that bound.

--- a/src/dapplewick/core/fleet.py
+++ b/src/dapplewick/core/fleet.py
@@ -20,8 +20,7 @@
 BOOT_LEAST_S = 60.0
 OVERDUE_TIMES = 1.7  # a machine that boots for longer is no longer counted on
 IDLE_TIMES = 5.0  # a cheap machine idles at most this much longer than a middling one
-MOST_AT_ONCE = 60  # machines asked for in one pass
-MOST_IN_ONE = 50  # and in one request, as the cloud allows
+MACHINES_PER_REQUEST = 50  # as the cloud allows
 
 
 class Need(NamedTuple):
@@ -44,8 +43,16 @@
     """Decides on machines; it neither writes nor calls."""
 
     def __init__(
-        self, mirror: Mirror, zones: list[str], seed: int, tuning: Tuning | None = None
+        self,
+        mirror: Mirror,
+        zones: list[str],
+        seed: int,
+        tuning: Tuning | None = None,
+        requests_per_pass: float = 1.0,
     ) -> None:
+        # More requests than the cloud takes in a pass would only wait, for more and more work
+        # that is known by then.
+        self._machines_per_pass = max(1, int(requests_per_pass)) * MACHINES_PER_REQUEST
         self.tuning = tuning or Tuning()
         self.mirror = mirror
         self.zones = zones
@@ -104,7 +111,7 @@
                     key = (kind.name, zone, spot)
                     refused = self.refused.get(key)
                     if key not in pending and (refused is None or now - refused > REFUSED_S):
-                        if asked.get(key, 0) >= MOST_IN_ONE:
+                        if asked.get(key, 0) >= MACHINES_PER_REQUEST:
                             continue
                         price = kind.spot_price if spot else kind.price
                         offers.append(Offer(kind, zone, spot, price))
@@ -183,7 +190,7 @@
                     taken = True
             if taken:
                 part.changed()
-        while count > 0 and sum(asked.values()) < MOST_AT_ONCE:
+        while count > 0 and sum(asked.values()) < self._machines_per_pass:
             open_zones = [z for z in zones if left[z] > 0]
             offer = self._best(now, spec, count, asked, open_zones)
             if offer is None or self._over_cap(offer, asked):
--- a/src/dapplewick/core/leader.py
+++ b/src/dapplewick/core/leader.py
@@ -91,7 +91,8 @@
         self._aimed = settings.deployment.aimed()
         self.demand = AcceleratorDemand(mirror, self._aimed)
         self.gangs = GangDemand(mirror, self.tuning.spare_slots)
-        self.fleet = Fleet(mirror, settings.deployment.zones, epoch, self.tuning)
+        requests_per_pass = settings.deployment.cloud.rps * FLEET_S / 2  # deletions are calls too
+        self.fleet = Fleet(mirror, settings.deployment.zones, epoch, self.tuning, requests_per_pass)
         limits = self.settings.state.lowest()
         self._value_bytes = limits.value_bytes
         self._names = {settings.host_name, *(p.host_name for p in settings.peers)}
--- a/src/dapplewick/transport/peer.py
+++ b/src/dapplewick/transport/peer.py
@@ -12,7 +12,7 @@
 
 log = logging.getLogger("dapplewick.peer")
 
-MAX_FRAME = 4 * 1024 * 1024
+MAX_FRAME = 32 * 1024 * 1024  # a status of a part with 4,000 machines of 100 tasks each
 CONNECT_S = 1.0
 SEND_S = 3.0
 RETRY_S = 0.5
--- a/tests/standins/network.py
+++ b/tests/standins/network.py
@@ -8,6 +8,7 @@
 import cbor2
 
 from dapplewick.transport import http_client
+from dapplewick.transport.peer import MAX_FRAME
 
 if TYPE_CHECKING:
     from standins.world import World
@@ -124,6 +125,8 @@
             if node is None or {self.sender, self.target} & self.world.cut_peers:
                 continue
             for frame in batch:
+                if len(frame) > MAX_FRAME:
+                    continue  # refused by the real one
                 if self.target in self.world.frozen:
                     self.world.held.setdefault(self.target, []).append(frame)
                 else:
--- a/tests/test_four_points.py
+++ b/tests/test_four_points.py
@@ -318,6 +318,22 @@
     assert unmet == []
 
 
+def test_a_pass_asks_for_as_many_machines_as_the_cloud_takes_calls_for() -> None:
+    """At the start of a day hundreds are missing: a fixed number a pass cost half a minute."""
+    mirror = Mirror()
+    kinds = [
+        MachineType(name=f"k{n}", cpus=4.0, ram=64.0, price=1.0 + n, zones=["a", "b"])
+        for n in range(4)
+    ]
+    need = Need(spec(3000, 4.0, 30.0), 3000, False)
+    for calls, machines in ((0.3, 50), (1.0, 50), (4.0, 200), (100.0, 400)):
+        fleet = Fleet(mirror, ["a", "b"], 1, requests_per_pass=calls)
+        fleet.catalog(kinds)
+        bookings, _ = fleet.rent(0.0, 0.0, [need], [])
+        assert sum(booking.count for booking in bookings) == machines
+        assert all(booking.count <= 50 for booking in bookings)
+
+
 def test_estimates_follow_a_day_of_estimates_that_are_all_too_low() -> None:
     estimates = Estimates()
     asked = spec(1, 1.0, 10.0)
--- /dev/null
+++ b/tests/test_size.py
@@ -0,0 +1,69 @@
+"""No fixed limit stands below 4,000 machines. What ends a larger deployment is speed alone."""
+
+from __future__ import annotations
+
+import anyio
+import cbor2
+
+from dapplewick.storage.records import FORMAT, FORMAT_NOW, MACHINES
+from dapplewick.transport.peer import MAX_FRAME
+from standins import World
+from test_days import run_script
+from test_growth import busy_part
+
+MACHINES_UP = 4000
+GROUP = 150  # machines in a record, as the leader writes them
+
+
+def deploy(world: World) -> None:
+    """Machines that an earlier leader rented: all up, half in each zone."""
+    state = world.state
+    state.ledger += 1
+    state.keys[FORMAT] = ({"version": FORMAT_NOW}, state.ledger, None)
+    for first in range(0, MACHINES_UP, GROUP):
+        names = [f"vm-{n:06d}" for n in range(first, min(MACHINES_UP, first + GROUP))]
+        zone = world.zones[first // GROUP % len(world.zones)]
+        value = {"type": "c8", "zone": zone, "spot": False, "machines": dict.fromkeys(names, "u")}
+        state.ledger += 1
+        state.keys[f"{MACHINES}r-0-{first}"] = (value, state.ledger, None)
+        for name in names:
+            world.new_machine(name, "c8", zone, False)
+    world.cloud.next_name = MACHINES_UP
+
+
+def test_four_thousand_machines_are_served_through_a_change_of_leader() -> None:
+    """The controllers start, read the state, take reports, place, cancel and change leaders."""
+    world = World(seed=5)
+    array = world.job(name_id="run-000001", pieces=300, cpus=8.0, image_gb=0.0, true_s=3.0)
+    gang = world.job(name_id="run-000002", shape="group", pieces=20, image_gb=0.0, true_s=4.0)
+    endless = world.job(name_id="run-000003", pieces=100, image_gb=0.0, true_s=500.0)
+
+    async def script() -> None:
+        world.boot_s = (0.1, 0.5)
+        deploy(world)
+        await anyio.sleep(2.0)
+        for job, cancel_after in ((endless, 8.0), (gang, None), (array, None)):
+            world.group.start_soon(world.user, job["name_id"], job, cancel_after)
+        await anyio.sleep(4.0)
+        leader = next(name for name, node in world.nodes.items() if node.leader is not None)
+        world.crash(leader)
+        await anyio.sleep(3.0)
+        world.start_node(leader)
+
+    run_script(world, 22.0, script)
+    assert world.broken == []
+    assert world.told == {
+        "run-000001": "done", "run-000002": "done", "run-000003": "withdrawn",
+    }  # fmt: skip
+    assert not any(name.startswith("run-000003/") for _, name in world.on_machines_or_fetching())
+    assert len(world.workers) >= MACHINES_UP
+
+
+def test_all_that_a_part_of_four_thousand_machines_tells_fits_into_a_frame() -> None:
+    """A status that is refused for its length is refused again and again: the leader would never
+    hear of the part. Long names, and as many tasks on each machine as the largest take."""
+    bench = busy_part(40)
+    frame = len(cbor2.dumps(bench.core.status(3.0)))
+    tasks = sum(len(machine.live) for machine in bench.core.machines.values())
+    of_a_task = frame / tasks
+    assert 100 * MACHINES_UP * of_a_task < MAX_FRAME
