Gangs hold behind the smallest gang that is large enough, and for longer

Cause: a small gang held behind whichever gang ended first, also one of 16, whose slots then stood in pieces that no large gang could hold. Behind one gang nothing stands idle, so the wait there may be four times the limit, not two.

--- a/src/dapplewick/core/demand.py
+++ b/src/dapplewick/core/demand.py
@@ -12,6 +12,7 @@
 MEMORY_S = 60.0  # over this time the rate at which gangs come is counted
 UNAIMED_S = 60.0  # work without aims of its own is left no room for this long
 SCARCE = 0.5  # of the accelerators
+SEEN_LEAST = 500  # gangs that have been counted, before those that are over are forgotten
 FADE_S = 20.0  # a demand for accelerators that has passed is believed in for about this long
 
 
@@ -109,8 +110,8 @@
                 self.rank = job.spec.rank
                 if self._at is not None:
                     fresh += job.spec.tasks
-        while len(self._seen) > 5000:
-            del self._seen[next(iter(self._seen))]
+        if len(self._seen) > SEEN_LEAST + 2 * len(self.mirror.live_jobs):
+            self._seen = {job_id: None for job_id in self._seen if job_id in self.mirror.live_jobs}
         if self._at is None:
             self._begun = self._at = now
         self._count = self._count * math.exp(-max(0.0, now - self._at) / MEMORY_S) + fresh
--- a/src/dapplewick/core/model.py
+++ b/src/dapplewick/core/model.py
@@ -11,7 +11,7 @@
 from dapplewick.protocol.wire import JobSpec, Shape
 from dapplewick.types import NOTHING, MachineId, Seconds, Size, TypeName, Zone
 
-ONE_GROUP_TIMES = 2.0  # behind one gang a longer wait is taken than behind several
+ONE_GROUP_TIMES = 4.0  # behind one gang a longer wait is taken than behind several
 GANG_RANK = 99  # a gang's task counts as this among ends: nothing stops it for another gang
 
 
@@ -296,7 +296,8 @@
     them, the longer the last is waited for by all that ended before it."""
     enough = [g for g in groups if len(g.views) >= count and g.wait <= ONE_GROUP_TIMES * limit]
     if enough:
-        return min(enough, key=lambda g: g.wait).views[:count]
+        # The smallest of them: the others stay whole for gangs that need as many slots.
+        return min(enough, key=lambda g: (len(g.views), g.wait)).views[:count]
     chosen: list[View] = []
     for group in sorted(groups, key=lambda g: (-len(g.views), g.wait)):
         missing = count - len(chosen)
--- a/tests/test_waiting_gangs.py
+++ b/tests/test_waiting_gangs.py
@@ -7,10 +7,10 @@
 
 from dapplewick.core.demand import AcceleratorDemand, GangDemand
 from dapplewick.core.estimates import Estimates
-from dapplewick.core.model import PartRooms, View
+from dapplewick.core.model import ONE_GROUP_TIMES, EndGroup, PartRooms, View, fit_behind
 from dapplewick.core.part import PartCore
 from dapplewick.protocol.wire import MachineType, Report, types_value
-from dapplewick.storage.records import JOBS, MACHINES, TYPES, JobRecord, Mirror
+from dapplewick.storage.records import DONE, JOBS, MACHINES, TYPES, JobRecord, Mirror
 from dapplewick.types import JobId, MachineId, Size, Token, TypeName, Zone
 from test_four_points import spec
 
@@ -94,3 +94,36 @@
 def test_a_part_keeps_slots_for_waiting_gangs_where_singles_have_smaller_machines() -> None:
     assert launched({"vm-large": "large", "vm-small": "small"}) == {"vm-large": 1, "vm-small": 8}
     assert launched({"vm-large": "large"}) == {"vm-large": 16}
+
+
+def test_a_gang_holds_behind_the_smallest_group_that_is_large_enough() -> None:
+    """Small gangs took slots behind the largest, which then stood in pieces that no large gang
+    could hold: under half of the largest began within four minutes."""
+    sixteen = EndGroup(10.0, [view(f"a{n}", LARGE) for n in range(16)])
+    eight = EndGroup(30.0, [view(f"b{n}", LARGE) for n in range(8)])
+    two = EndGroup(5.0, [view(f"c{n}", LARGE) for n in range(2)])
+    groups = [sixteen, eight, two]
+    for count, expected in ((16, sixteen), (7, eight), (2, two)):
+        assert fit_behind([], groups, count, 20.0) == expected.views[:count]
+    # One that ends too late is no place to wait, however well it fits.
+    late = EndGroup(20.0 * ONE_GROUP_TIMES + 1.0, eight.views)
+    assert fit_behind([], [sixteen, late], 8, 20.0) == sixteen.views[:8]
+
+
+def test_gangs_that_are_over_are_forgotten_and_those_that_live_are_counted_once() -> None:
+    """However many live at once: a fixed number of them counted the oldest again and again."""
+    mirror, made = Mirror(), GangDemand(Mirror())
+    made.mirror = mirror
+    made.update(0.0)
+    for n in range(6000):
+        mirror.put(f"{JOBS}run-{n}", JobRecord(GANG, 0.0).dump(), n + 1)
+    made.update(1.0)
+    counted = made._count
+    made.update(1.0)
+    assert made._count == counted and len(made._seen) == 6000
+    for n in range(6000):
+        over = JobRecord(GANG, 0.0)
+        over.stage = DONE
+        mirror.put(f"{JOBS}run-{n}", over.dump(), 6001 + n)
+    made.update(2.0)
+    assert not made._seen
