A chunked body's trailer without an end is refused: the parser kept all of it

Now what is fed of a body, with chunk lengths and trailers, is at most eight times the largest body. Found on reading the change once more.

--- a/src/dapplewick/transport/http.py
+++ b/src/dapplewick/transport/http.py
@@ -23,6 +23,9 @@
 
 MAX_BODY = 64 * 1024
 MAX_HEAD = 16 * 1024  # request line and headers; the parser itself bounds neither
+# A body with its chunk lengths and trailers. In chunks of a byte it is six times its own length. The
+# parser keeps a trailer whole, and one without an end filled a controller's memory.
+MAX_ENCODED_BODY = 8 * MAX_BODY
 MAX_QUEUED = 16  # requests that a client sends without waiting for answers
 READ_BYTES = 64 * 1024
 IDLE_S = 150.0
@@ -66,6 +69,7 @@
         self._requests: deque[Request] = deque()
         self._parser = httptools.HttpRequestParser(self)
         self._head_bytes = 0  # fed since the last request or head was complete
+        self._encoded_bytes = 0  # fed of the present body
         self._in_body = False
         self._ended = False  # nothing more is parsed on this connection
         self._error = ""
@@ -90,7 +94,9 @@
         """Take bytes from the connection."""
         if self._ended:
             return
-        if not self._in_body:
+        if self._in_body:
+            self._encoded_bytes += len(data)
+        else:
             self._head_bytes += len(data)
         try:
             self._parser.feed_data(data)
@@ -102,6 +108,8 @@
             self._fail(str(err))
         if not self._in_body and self._head_bytes > MAX_HEAD:
             self._fail("the head is too long")
+        if self._in_body and self._encoded_bytes > MAX_ENCODED_BODY:
+            self._fail("the body is too long for what it says")
         if len(self._requests) > MAX_QUEUED:
             self._fail("too many requests at once")
             while len(self._requests) > MAX_QUEUED:
@@ -125,7 +133,7 @@
 
     def on_headers_complete(self) -> None:
         self._in_body = True
-        self._head_bytes = 0
+        self._head_bytes = self._encoded_bytes = 0
 
     def on_body(self, body: bytes) -> None:
         self._size += len(body)
--- a/tests/test_http.py
+++ b/tests/test_http.py
@@ -13,8 +13,10 @@
 
 from dapplewick.transport.http import (
     MAX_BODY,
+    MAX_ENCODED_BODY,
     MAX_HEAD,
     MAX_QUEUED,
+    READ_BYTES,
     Answer,
     MalformedRequest,
     Request,
@@ -126,6 +128,24 @@
     assert request is not None and len(request.body) == MAX_BODY and not request.too_large
 
 
+def test_a_trailer_without_an_end_is_refused_and_a_body_in_single_bytes_is_not() -> None:
+    """The parser keeps a trailer whole: what comes after the body counts like the body."""
+    head = b"POST / HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n"
+    parser = RequestParser()
+    parser.feed(head + b"1\r\na\r\n0\r\nX: ")
+    for _ in range(MAX_ENCODED_BODY // READ_BYTES + 1):
+        assert parser.take() is None
+        parser.feed(b"b" * READ_BYTES)
+    with pytest.raises(MalformedRequest):
+        parser.take()
+    parser = RequestParser()
+    parser.feed(head)
+    for _ in range(MAX_BODY):
+        parser.feed(b"1\r\na\r\n")
+    parser.feed(b"0\r\n\r\n")
+    assert parser.take() == Request("POST", "/", b"a" * MAX_BODY, False)
+
+
 Script = Callable[[anyio.abc.SocketStream], Awaitable[None]]
 
 
