--- a/src/dapplewick/transport/http.py
+++ b/src/dapplewick/transport/http.py
@@ -23,7 +23,7 @@
 
 MAX_BODY = 64 * 1024
 MAX_HEAD = 16 * 1024  # request line and headers; the parser itself bounds neither
-# A body with its chunk lengths and trailers. In chunks of a byte it is six times its own length. The
+# A body with its chunk lengths and trailers. In chunks of a byte it takes six times its length. The
 # parser keeps a trailer whole, and one without an end filled a controller's memory.
 MAX_ENCODED_BODY = 8 * MAX_BODY
 MAX_QUEUED = 16  # requests that a client sends without waiting for answers
