The watch cache remembers the newest removal of a key

Cause: note_removed overwrote the memory of a removal with an older one that the watch told later, so that a put between the two brought the removed key back until the watch told of the newer removal. A record so brought back was a provisioning request, machine group or transfer that a controller had removed itself: until its watch reached the removal, machines counted as coming that were there already. That lasts as long as the watch lags, so it can delay a request by a pass, and cannot keep a class unserved: it is ruled out as the cause of the incident.

--- a/src/dapplewick/storage/key_versions.py
+++ b/src/dapplewick/storage/key_versions.py
@@ -39,11 +39,14 @@
         self.versions[key] = version
 
     def note_removed(self, key: str, version: int, revision: int) -> None:
-        """A key was removed; remembered until all up to its removal has been read."""
+        """A key was removed; remembered until all up to its removal has been read.
+
+        The watch may tell of an earlier removal after the newest one is known: the newest stands.
+        """
         self.versions.pop(key, None)
         self.unreadable.pop(key, None)
         if version > revision:
-            self.removals[key] = version
+            self.removals[key] = max(version, self.removals.get(key, 0))
             if len(self.removals) > self._max_removals:
                 self._forget_removals(revision)
 
