--- /dev/null
+++ b/tests/simulation/test_unheard_shards.py
@@ -0,0 +1,97 @@
+"""A shard that the leader cannot hear, though its owner is present, is not left unserved.
+
+Seen: on days at full size a whole class, team or size of jobs went unserved. While controllers
+refuse one another's connections the leader's load report names no free machine at all, and nothing
+is placed, assigned or provisioned until the refusal is over, however long that takes; the classes
+that come in that time are not served.
+
+How it came about: an owner that has to connect anew while its peers refuse can send the leader no
+status. Its presence record stands, since that needs the state service alone, so the shard keeps its
+owner. Without a status the leader gives the shard no work, and provisions and returns no machine
+anywhere.
+
+Cause: the leader acted on the presence of an owner, which says that it reaches the state service,
+as if that said that the owner reaches the leader. Nothing ended the wait for a status.
+
+Proof: the scenarios below fail without the move of unheard shards (`ShardContacts`), and pass with
+it; nothing else changes between the two.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+
+import anyio
+import pytest
+
+from standins import World, now
+from support.scenarios import Script, finished, leader, owners, play_scenario, submit_jobs
+
+CUT_AT_S = 25.0
+CUT_S = 240.0
+BEGIN_WITHIN_S = 60.0  # of a job, also while controllers cannot hear one another
+
+
+def late_jobs(world: World, within_s: float) -> list[str]:
+    """The jobs of which no task has started within a time after they were accepted."""
+    return [
+        job
+        for job in sorted(world.accepted)
+        if world.first_start.get(f"{job}/0", 1e9) - world.accepted_at[job] > within_s
+    ]
+
+
+async def cut_off_from_peers(world: World, names: Iterable[str]) -> None:
+    """Cut controllers off from their peers alone, and submit jobs of every kind meanwhile."""
+    await anyio.sleep(CUT_AT_S)
+    world.cut_peers.update(names)
+    await anyio.sleep(5)
+    submit_jobs(world, 4, pieces=3, cpus=4.0, true_s=8.0)
+    submit_jobs(world, 3, first=4, pieces=2, cpus=4.0, true_s=8.0, shape="group")
+    submit_jobs(world, 2, first=7, pieces=2, accelerators=1.0, builds=["g8"], true_s=8.0)
+    submit_jobs(world, 2, first=9, pieces=2, cpus=2.0, true_s=8.0, yard="b")
+    await anyio.sleep(CUT_S)
+    world.cut_peers.clear()
+    world.calm_at = now()
+
+
+async def all_refuse_one_another(world: World) -> None:
+    await cut_off_from_peers(world, world.names)
+
+
+async def one_owner_is_refused(world: World) -> None:
+    await anyio.sleep(5)
+    other = next(name for name in owners(world) if name != leader(world))
+    await cut_off_from_peers(world, [other])
+
+
+async def leaders_end_meanwhile(world: World) -> None:
+    """The leader ends twice while all refuse one another; the next has heard nobody at all."""
+    async with anyio.create_task_group() as group:
+        group.start_soon(cut_off_from_peers, world, world.names)
+        for _ in range(2):
+            await anyio.sleep(CUT_AT_S + 10)
+            name = leader(world)
+            world.crash(name)
+            await anyio.sleep(3)
+            world.start_controller(name)
+
+
+@pytest.mark.parametrize("seed", [1, 2, 3])
+@pytest.mark.parametrize(
+    ("script", "within_s"),
+    [
+        (all_refuse_one_another, BEGIN_WITHIN_S),
+        (one_owner_is_refused, BEGIN_WITHIN_S),
+        # Each new leader has to find out for itself, and the second comes 38 s after the first.
+        (leaders_end_meanwhile, 2 * BEGIN_WITHIN_S),
+    ],
+)
+def test_jobs_begin_while_controllers_cannot_hear_one_another(
+    script: Script, within_s: float, seed: int
+) -> None:
+    world = play_scenario(script, seed, CUT_AT_S + CUT_S + 60.0)
+    assert len(world.accepted) == 11
+    assert late_jobs(world, within_s) == []
+    assert finished(world) == {}
+    assert world.violations == []
