A shard that the leader cannot hear for 30 s gets an owner that it hears

Cause: acting on knowledge of another kind. An owner's presence says that it reaches the state service, and was taken to say that it reaches the leader. While peers refuse one another's connections no status arrives, so nothing was placed, assigned or provisioned until the refusal was over, however long. Change: core/leader/shard_contacts.py decides in one place how old a status may be, and names shards that were unheard for 30 s; the assigner moves them, and gives no shard to a controller that the leader does not hear (coordination/peer_silence.py). The leader hears itself, so there is always one. A shard that stays unheard all the same is a violation: one error event, and a count. Each change of owner is logged with its reason.

--- a/src/dapplewick/controller/controller.py
+++ b/src/dapplewick/controller/controller.py
@@ -273,6 +273,7 @@
             election=self.election,
             leadership=self.leadership,
             assigner=self.assigner,
+            silence=self.peers.silence,
             owned_shards=self._owned_shards,
             confirmations=self.confirmations,
             partitions=self.partitions,
--- a/src/dapplewick/controller/leader_loop.py
+++ b/src/dapplewick/controller/leader_loop.py
@@ -17,7 +17,8 @@
 from dapplewick.coordination.election import Election
 from dapplewick.coordination.identity import Identity
 from dapplewick.coordination.leadership import Leadership
-from dapplewick.coordination.shard_assignment import ShardAssigner
+from dapplewick.coordination.peer_silence import PeerSilence
+from dapplewick.coordination.shard_assignment import OwnersView, ShardAssigner
 from dapplewick.coordination.status_confirmations import Confirmation, StatusConfirmations
 from dapplewick.core.leader.planner import LeaderPlanner
 from dapplewick.storage.conditional_write import ConditionalWrite
@@ -51,6 +52,7 @@
     election: Election
     leadership: Leadership
     assigner: ShardAssigner
+    silence: PeerSilence
     owned_shards: OwnedShards
     confirmations: StatusConfirmations
     partitions: PartitionSwitch
@@ -131,11 +133,23 @@
         self, planner: LeaderPlanner, epoch: FencingToken, now: Seconds
     ) -> None:
         """Write the new owners of shards, each by itself."""
-        for name, shard in self.assigner.changes(now, planner.unreachable_shards()).items():
-            key = SHARDS + name
+        present = self.records.cache.controllers
+        view = OwnersView(
+            unreachable=planner.unreachable_shards(),
+            unheard=planner.unheard_shards(now),
+            silent_controllers=self.silence.silent(now, present),
+        )
+        for assignment in self.assigner.changes(now, view):
+            key = SHARDS + assignment.shard
+            log.info(
+                "event=shard_assigned shard=%s controller=%s reason=%s",
+                assignment.shard,
+                assignment.record.owner,
+                assignment.reason,
+            )
             change = ConditionalWrite(
                 key,
-                msgspec.to_builtins(shard),
+                msgspec.to_builtins(assignment.record),
                 self.records.cache.version(key),
                 WritePriority.URGENT,
             )
--- a/src/dapplewick/coordination/peer_exchange.py
+++ b/src/dapplewick/coordination/peer_exchange.py
@@ -11,6 +11,7 @@
 
 from dapplewick.coordination.cancellation_exchange import CancellationMessage, CancellationWatch
 from dapplewick.coordination.identity import Identity
+from dapplewick.coordination.peer_silence import PeerSilence
 from dapplewick.coordination.records import Records
 from dapplewick.coordination.wake import Wake
 from dapplewick.core.shard.scheduler import ShardScheduler
@@ -77,6 +78,7 @@
         self._now = now
         self._random = rng
         self.contacts: dict[ControllerName, PeerContact] = {}
+        self.silence = PeerSilence(identity.name)
         self.heard_owners: dict[ShardName, HeardOwner] = {}
         self.running: dict[ControllerName, dict[JobId, int]] = {}  # tasks of each job
 
@@ -87,6 +89,7 @@
                 await self._wake.wait()
                 await anyio.sleep(GOSSIP_AFTER_CANCELLATION_S)
             self._wake.clear()
+            self.silence.listen(self._now(), self._records.cache.controllers)
             self._post_gossip()
 
     def _post_gossip(self) -> None:
@@ -128,6 +131,7 @@
         """
         gossip = peers.decode(message, Gossip)
         controller = gossip.controller
+        self.silence.hear(self._now(), controller)
         self.contacts[controller] = PeerContact(self._now(), gossip.reaches_state_service)
         self.running[controller] = gossip.running
         for shard, (token, owner) in gossip.shards.items():
--- a/src/dapplewick/coordination/shard_assignment.py
+++ b/src/dapplewick/coordination/shard_assignment.py
@@ -2,6 +2,10 @@
 
 from __future__ import annotations
 
+from collections.abc import Set
+from enum import StrEnum
+from typing import NamedTuple
+
 from dapplewick.storage.controller_records import ShardRecord
 from dapplewick.storage.watch_cache import WatchCache
 from dapplewick.types import ControllerName, Seconds, ShardName, partition_of, zone_of
@@ -13,6 +17,39 @@
 NEVER_S = -1e9  # before any time of the steady clock
 
 
+class AssignmentReason(StrEnum):
+    """Why a shard gets a new owner."""
+
+    NO_OWNER = "no_owner"  # or its owner's incarnation is not present
+    UNREACHABLE = "unreachable"  # its owner hears none of its machines
+    UNHEARD = "unheard"  # the leader does not hear its owner
+    UNEVEN = "uneven"  # its owner has much more to do than another controller
+
+
+class ShardAssignment(NamedTuple):
+    """A shard's new owner."""
+
+    shard: ShardName
+    record: ShardRecord
+    reason: AssignmentReason
+
+
+class OwnersView(NamedTuple):
+    """What the leader knows of the owners, beside their presence.
+
+    Attributes:
+        unreachable: shards whose owner hears none of its machines: it may have lost the way to
+            them alone, and another may hear them.
+        unheard: shards whose owner the leader has not heard for long, though it is present.
+        silent_controllers: present controllers that the leader does not hear now. They are given
+            no shard: it would be unheard too.
+    """
+
+    unreachable: Set[ShardName]
+    unheard: Set[ShardName]
+    silent_controllers: Set[ControllerName]
+
+
 class ShardAssigner:
     """The leader's choice of owners; a shard changes hands only for a reason.
 
@@ -33,16 +70,12 @@
         partitions = [shard for shard in self._cache.shards if partition_of(shard)]
         return list(dict.fromkeys([*self._zones, *self.wanted, *partitions]))
 
-    def changes(self, now: Seconds, unreachable: set[ShardName]) -> dict[ShardName, ShardRecord]:
+    def changes(self, now: Seconds, view: OwnersView) -> list[ShardAssignment]:
         """Choose the shards that get a new owner now.
 
         Args:
             now: the steady clock of this process, in seconds.
-            unreachable: shards whose owner hears none of its machines: it may have lost the way to
-                them alone, and another may hear them.
-
-        Returns:
-            The new records of these shards.
+            view: what is known of the present owners.
         """
         load: dict[ControllerName, int] = dict.fromkeys(self._cache.controllers, 0)
         if self._own_name in load:
@@ -54,9 +87,14 @@
                 orphans.append(name)
             else:
                 load[owner] += 1
+        eligible = load.keys() - view.silent_controllers or load.keys()
         if orphans:
-            return self._assign_orphans(orphans, load)
-        return self._reassign_unreachable(now, load, unreachable) or self._even_out(now, load)
+            return self._assign_orphans(orphans, load, eligible)
+        return (
+            self._reassign(now, load, eligible, view.unreachable, AssignmentReason.UNREACHABLE)
+            or self._reassign(now, load, eligible, view.unheard, AssignmentReason.UNHEARD)
+            or self._even_out(now, load, eligible)
+        )
 
     def _present_owner(self, name: ShardName) -> ControllerName | None:
         """The owner of a shard, if the incarnation that got it is still there."""
@@ -71,33 +109,43 @@
         return owner if is_present else None
 
     def _assign_orphans(
-        self, orphans: list[ShardName], load: dict[ControllerName, int]
-    ) -> dict[ShardName, ShardRecord]:
+        self,
+        orphans: list[ShardName],
+        load: dict[ControllerName, int],
+        eligible: Set[ControllerName],
+    ) -> list[ShardAssignment]:
         """Give each shard without an owner to the controller that is preferred for it."""
-        assigned: dict[ShardName, ShardRecord] = {}
+        assigned: list[ShardAssignment] = []
         if not load:
             return assigned  # there is nobody to own them
         for name in orphans:
-            owner = min(load, key=lambda n: self._preference(n, name, load))
+            owner = min(eligible, key=lambda n: self._preference(n, name, load))
             load[owner] += 1
-            assigned[name] = self._record(owner)
+            assigned.append(self._assignment(name, owner, AssignmentReason.NO_OWNER))
         return assigned
 
-    def _record(self, owner: ControllerName) -> ShardRecord:
-        return ShardRecord(owner, self._cache.controllers[owner].incarnation)
-
-    def _reassign_unreachable(
-        self, now: Seconds, load: dict[ControllerName, int], unreachable: set[ShardName]
-    ) -> dict[ShardName, ShardRecord]:
-        """Move one shard whose owner hears none of its machines, if it was not moved just now."""
-        for name in sorted(unreachable & self._cache.shards.keys()):
-            owner = ControllerName(self._cache.shards[name].owner)
-            others = {n: count for n, count in load.items() if n != owner}
+    def _assignment(
+        self, shard: ShardName, owner: ControllerName, reason: AssignmentReason
+    ) -> ShardAssignment:
+        record = ShardRecord(owner, self._cache.controllers[owner].incarnation)
+        return ShardAssignment(shard, record, reason)
+
+    def _reassign(
+        self,
+        now: Seconds,
+        load: dict[ControllerName, int],
+        eligible: Set[ControllerName],
+        shards: Set[ShardName],
+        reason: AssignmentReason,
+    ) -> list[ShardAssignment]:
+        """Move one of these shards to another controller, if it was not moved just now."""
+        for name in sorted(shards & self._cache.shards.keys()):
+            others = eligible - {ControllerName(self._cache.shards[name].owner)}
             if others and now - self._moved_at.get(name, NEVER_S) >= REASSIGNMENT_PAUSE_S:
                 self._moved_at[name] = now
-                controller = min(others, key=lambda n: self._preference(n, name, others))
-                return {name: self._record(controller)}
-        return {}
+                owner = min(others, key=lambda n: self._preference(n, name, load))
+                return [self._assignment(name, owner, reason)]
+        return []
 
     def _preference(
         self, controller: ControllerName, shard: ShardName, load: dict[ControllerName, int]
@@ -111,22 +159,22 @@
         )
 
     def _even_out(
-        self, now: Seconds, load: dict[ControllerName, int]
-    ) -> dict[ShardName, ShardRecord]:
+        self, now: Seconds, load: dict[ControllerName, int], eligible: Set[ControllerName]
+    ) -> list[ShardAssignment]:
         """Move one shard from the most to the least loaded, once that was so for a while."""
-        if not load or max(load.values()) - min(load.values()) < 2:
+        if not load or max(load.values()) - min(load[name] for name in eligible) < 2:
             self._uneven_since = None
-            return {}
+            return []
         if self._uneven_since is None:
             self._uneven_since = now
         most = max(load, key=lambda n: (load[n], n))
         owned = [p for p in self.shards() if self._cache.shards[p].owner == most]
         if not owned:
-            return {}
+            return []
         shard = owned[-1]
         full = any(m.up and m.shard == shard for m in self._cache.machines.values())
         if now - self._uneven_since < (STEADY_S if full else EMPTY_STEADY_S):
-            return {}
+            return []
         self._uneven_since = None
-        least = min(load, key=lambda n: self._preference(n, shard, load))
-        return {shard: self._record(least)}
+        least = min(eligible, key=lambda n: self._preference(n, shard, load))
+        return [self._assignment(shard, least, AssignmentReason.UNEVEN)]
--- a/src/dapplewick/core/leader/cluster_scaling.py
+++ b/src/dapplewick/core/leader/cluster_scaling.py
@@ -9,22 +9,21 @@
 from dapplewick.core.leader.array_order import PendingArray
 from dapplewick.core.leader.capacity_requests import CapacityRequestPlanner
 from dapplewick.core.leader.machine_lifecycle import MachineLifecycle
-from dapplewick.core.leader.observed_shard import ObservedShards
 from dapplewick.core.leader.provisioner import Provisioner
 from dapplewick.core.leader.scale_in import ScaleIn
 from dapplewick.core.leader.shard_capacity import ShardCapacity
+from dapplewick.core.leader.shard_contacts import ShardContacts
 from dapplewick.core.leader.term_ids import TermIds
 from dapplewick.storage.conditional_write import ConditionalWrite
 from dapplewick.storage.keys import PROVISIONING_REQUESTS
 from dapplewick.storage.machine_records import ProvisioningRequest
 from dapplewick.storage.watch_cache import WatchCache
 from dapplewick.storage.write_priority import WritePriority
-from dapplewick.types import MachineId, Seconds, zone_of
+from dapplewick.types import MachineId, Seconds
 
 log = logging.getLogger(__name__)
 
 SCALING_S = 1.0  # scaling out and in is decided this often
-FRESH_STATUS_S = 6.0  # no decision rests on a shard's status that is older
 FIRST_STATUSES_S = 1.0  # the shards' owners have so long to tell a new leader of themselves
 
 
@@ -39,8 +38,7 @@
     def __init__(
         self,
         cache: WatchCache,
-        zones: list[str],
-        shards: ObservedShards,
+        contacts: ShardContacts,
         capacity_requests: CapacityRequestPlanner,
         provisioner: Provisioner,
         scale_in: ScaleIn,
@@ -49,8 +47,7 @@
         now: Seconds,
     ) -> None:
         self._cache = cache
-        self._zones = zones
-        self._shards = shards
+        self._contacts = contacts
         self._capacity_requests = capacity_requests
         self._provisioner = provisioner
         self._scale_in = scale_in
@@ -112,6 +109,4 @@
         """Whether enough is known to decide on machines: every owned shard was heard."""
         if not self._cache.types or now - self._started_at < FIRST_STATUSES_S:
             return False
-        shards = {name for name in self._cache.shards if zone_of(name) in self._zones}
-        fresh = {s.shard for s in self._shards.owned() if now - s.at < FRESH_STATUS_S}
-        return bool(shards) and shards <= fresh
+        return self._contacts.all_fresh(now)
--- a/src/dapplewick/core/leader/planner.py
+++ b/src/dapplewick/core/leader/planner.py
@@ -29,6 +29,7 @@
 from dapplewick.core.leader.quotas import TeamQuotas
 from dapplewick.core.leader.reconciliation import Reconciliation
 from dapplewick.core.leader.scale_in import ScaleIn
+from dapplewick.core.leader.shard_contacts import ShardContacts
 from dapplewick.core.leader.term_ids import TermIds
 from dapplewick.core.leader.waiting_gangs import WaitingGangs
 from dapplewick.protocol.cloud import MachineList, MachineType
@@ -70,6 +71,7 @@
 
     Attributes:
         shards: What is known of each shard.
+        contacts: How long ago each shard was heard.
         machine_lifecycle: What is known of each machine, beside its record.
         provisioned: The cloud's answers to provisioning requests.
         partitions: Where zones have partitions, who moves machines between these.
@@ -119,7 +121,8 @@
         self._machine_types = MachineTypes(cache, limits.value_bytes)
         self._reconciliation = Reconciliation(cache, drafts, observed, tuning.patience_s)
         self._quotas = TeamQuotas(deployment.teams, drafts)
-        self._capacity_view = CapacityView(cache, drafts, observed, self._demand)
+        self.contacts = ShardContacts(cache, zones, observed)
+        self._capacity_view = CapacityView(cache, drafts, observed, self._demand, self.contacts)
         self._waiting_gangs = WaitingGangs(
             drafts, self._quotas, self._demand, provisioner, estimates, tuning, zones, self._ids
         )
@@ -134,8 +137,7 @@
         self._array_assignment = ArrayAssignment(drafts, self._quotas, observed, self._gangs)
         self._scaling = ClusterScaling(
             cache,
-            zones,
-            observed,
+            self.contacts,
             CapacityRequestPlanner(cache, zones, estimates, tuning, self._gangs, observed, drafts),
             provisioner,
             ScaleIn(cache, drafts, observed, provisioner, self._gangs, self.machine_lifecycle),
@@ -172,6 +174,11 @@
         """Shards that want another owner; see `ObservedShards.unreachable`."""
         return self._observed.unreachable()
 
+    def unheard_shards(self, now: Seconds) -> set[ShardName]:
+        """Shards whose owner can't reach this leader; see `ShardContacts.unheard`."""
+        self.contacts.note_owners(now)
+        return self.contacts.unheard(now)
+
     def provisioning_answered(self, name: str, machines: list[MachineId] | None) -> None:
         """Note which machines the cloud gave for a provisioning request; None if it refused."""
         self.provisioned[name] = machines
@@ -211,6 +218,8 @@
             The writes, those that matter most first.
         """
         self._drafts.clear()
+        self.contacts.note_owners(now)
+        self.contacts.check(now)
         self.machine_lifecycle.begin()
         self._reconciliation.reconcile(now)
         self._review_machines(now, wall_time)
