A large gang whose team is at its limit waits behind all small work of its team: failing test

Cause: not mended here. A team at its limit gets room back a few tasks at a time; a gang that needs more is passed over in each pass, and what comes after it takes the room.

--- /dev/null
+++ b/tests/simulation/test_team_limits.py
@@ -0,0 +1,52 @@
+"""A large gang whose team is at its limit starts all the same.
+
+Seen: the largest jobs of a class went unserved while smaller ones of the same team ran.
+
+How it came about: a team at its limit gets room back a few tasks at a time, as its work ends. A
+gang needs room for all its tasks at once. In each pass of the leader the gang was passed over, and
+smaller gangs and array tasks of its team took what there was; so there never was enough.
+
+Cause: starvation. Slots may be reserved for a gang that waits, but nothing kept its team's limit.
+
+Proof: without `TeamQuotas.withhold` the tests below fail, and with it they pass.
+"""
+
+from __future__ import annotations
+
+import anyio
+import pytest
+
+from standins import World, now
+from support.scenarios import finished, play_scenario, submit_jobs
+
+BEGIN_WITHIN_S = 240.0  # of the largest jobs
+STREAM_S = 400.0  # for so long small work of the same team comes, as much as its limit allows
+
+
+async def stream(world: World, shape: str) -> None:
+    """Small work of one team, more than its limit of 24 CPUs lets run at once."""
+    end = now() + STREAM_S
+    first = 100
+    while now() < end:
+        submit_jobs(world, 2, first=first, pieces=2, cpus=4.0, crew="blue", shape=shape, true_s=9.0)
+        first += 2
+        await anyio.sleep(5.0)
+
+
+@pytest.mark.parametrize("shape", ["sweep", "group"])
+@pytest.mark.parametrize("seed", [1, 2])
+def test_a_gang_of_the_size_of_its_teams_limit_begins_beside_a_stream_of_small_work(
+    shape: str, seed: int
+) -> None:
+    async def script(world: World) -> None:
+        async with anyio.create_task_group() as group:
+            group.start_soon(stream, world, shape)
+            await anyio.sleep(40)
+            submit_jobs(world, 1, pieces=6, cpus=4.0, crew="blue", shape="group", true_s=8.0)
+        world.calm_at = now()
+
+    world = play_scenario(script, seed, STREAM_S + 320.0)
+    begun = world.first_start.get("run-000000/0", float("inf"))
+    assert begun - world.accepted_at["run-000000"] < BEGIN_WITHIN_S
+    assert finished(world) == {}
+    assert world.violations == []
