A team's limit is withheld for a gang that has waited for it

Cause: starvation. Slots may be reserved for a gang that waits, and nothing kept its team's limit: smaller work of the team took what came back of it, a few tasks at a time.

--- a/src/dapplewick/core/leader/quotas.py
+++ b/src/dapplewick/core/leader/quotas.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Iterable
+from typing import NamedTuple
 
 from dapplewick.config import Team
 from dapplewick.core.leader.job_drafts import JobDrafts
@@ -13,6 +14,13 @@
 ROUNDING = 1e-6  # amounts are sums of floats, so limits are tested with this allowance
 
 
+class _Withheld(NamedTuple):
+    """A part of a team's limit that is kept for a gang of this priority."""
+
+    resources: Resources
+    priority: int
+
+
 class TeamQuotas:
     """The teams' usage in this pass, against their limits and guarantees."""
 
@@ -20,10 +28,12 @@
         self._teams = {team.name: team for team in teams}
         self._drafts = drafts
         self._usage: dict[str, Resources] = {}
+        self._withheld: dict[str, _Withheld] = {}
 
     def recount(self) -> None:
         """Begin a pass: count what each team's tasks use or may still use."""
         self._usage = dict.fromkeys(self._teams, NO_RESOURCES)
+        self._withheld.clear()
         for _, job in self._drafts.live_jobs():
             count = sum(len(tasks) for tasks in job.assignments.values())
             if job.gang is not None:
@@ -37,6 +47,9 @@
         team, used = self._teams.get(spec.team), self._usage.get(spec.team)
         if team is None or used is None:
             return 0
+        withheld = self._withheld.get(spec.team)
+        if withheld is not None and spec.priority <= withheld.priority and not spec.is_service:
+            used = used.plus(withheld.resources)
         most = spec.task_count
         for limit, have, each in (
             (team.cpus_max, used.cpus, spec.cpus),
@@ -50,6 +63,14 @@
         """Count tasks that were assigned in this pass."""
         self._usage[spec.team] = self._usage[spec.team].plus(spec.resources.times(count))
 
+    def withhold(self, spec: JobSpec) -> None:
+        """Keep the team's limit for all tasks of a gang, for the rest of this pass.
+
+        Services and work of higher priority are not held up by it.
+        """
+        resources = spec.resources.times(spec.task_count)
+        self._withheld[spec.team] = _Withheld(resources, spec.priority)
+
     def within_guarantee(self, jobs: Iterable[tuple[JobId, JobRecord]]) -> set[JobId]:
         """Jobs that fit into their team's guarantee together with its earlier unfinished ones."""
         used: dict[str, Resources] = {}
--- a/src/dapplewick/core/leader/waiting_gangs.py
+++ b/src/dapplewick/core/leader/waiting_gangs.py
@@ -9,6 +9,7 @@
 from dapplewick.core.estimates import Estimates
 from dapplewick.core.leader.gang_placement import LONG_RESERVATION_S, place_gang
 from dapplewick.core.leader.job_drafts import JobDrafts
+from dapplewick.core.leader.limit_reservations import LimitReservations
 from dapplewick.core.leader.provisioner import Provisioner
 from dapplewick.core.leader.quotas import TeamQuotas
 from dapplewick.core.leader.shard_capacity import ShardCapacity
@@ -57,10 +58,12 @@
         self._zones = zones
         self._ids = ids
         self._reservation = ShardReservation()
+        self._limit_reservations = LimitReservations(quotas)
 
     def place(self, wall_time: Seconds, shard_capacities: list[ShardCapacity]) -> None:
         """Draft the placements of this pass."""
         self._reservation.begin()
+        self._limit_reservations.begin()
         left = self._place_each(self._waiting(), wall_time, shard_capacities)
         above = [gang for gang in left if gang.job.spec.priority > self._demand.priority]
         if above and self._demand.wanted():
@@ -97,9 +100,10 @@
         left = []
         for gang in waiting:
             spec = gang.job.spec
+            waited_s = wall_time - gang.job.submitted_at
             if self._quotas.within_limit(spec) < spec.task_count:
+                self._limit_reservations.ask(wall_time, spec, waited_s)
                 continue
-            waited_s = wall_time - gang.job.submitted_at
             limit_s = self._reservation_limit_s(spec, waited_s)
             open_shards = self._reservation.open_shards(shard_capacities)
             slots = place_gang(spec, open_shards, limit_s, self._patience_s)
