--- a/src/dapplewick/cli/status_text.py
+++ b/src/dapplewick/cli/status_text.py
@@ -78,6 +78,7 @@
     budgets: dict[str, float]
     owned: dict[str, OwnedShard]
     latencies_ms: dict[str, Latency]
+    violations: NotRequired[dict[str, int]]  # of invariants
 
 
 def status_lines(answer: dict[str, Any]) -> list[str]:
@@ -89,6 +90,7 @@
         *_work_lines(status),
         *_owned_lines(status),
         *_latency_lines(status),
+        *_violation_lines(status),
     ]
 
 
@@ -151,3 +153,10 @@
         f"p95 {times['p95']:g} ms  max {times['max']:g} ms"
         for name, times in sorted(status["latencies_ms"].items())
     ]
+
+
+def _violation_lines(status: ControllerStatus) -> list[str]:
+    return [
+        f"violated {invariant}  count {count}"
+        for invariant, count in sorted(status.get("violations", {}).items())
+    ]
--- a/src/dapplewick/controller/controller.py
+++ b/src/dapplewick/controller/controller.py
@@ -40,6 +40,7 @@
 from dapplewick.coordination.status_confirmations import StatusConfirmations
 from dapplewick.coordination.wake import Wake
 from dapplewick.core.estimates import Estimates
+from dapplewick.core.invariants import InvariantCounts
 from dapplewick.core.leader.planner import LeaderPlanner
 from dapplewick.core.shard.scheduler import ShardScheduler
 from dapplewick.storage.rate_limiter import RateLimiter
@@ -119,6 +120,7 @@
         self.limits = RecordLimits(deployment.state, self.cache)
         self.estimates = Estimates()
         self.leadership = Leadership()
+        self.invariants = InvariantCounts()
         self.assigner = ShardAssigner(self.cache, deployment.zones, self.identity.name)
         self._owned_shards = OwnedShards(
             self.identity, self.cache, self.assigner, self.estimates, deployment, self.tuning
@@ -202,6 +204,7 @@
             cloud_budget=self.cloud_budget,
             schedulers=self.shard_schedulers,
             latencies=self.latencies,
+            invariants=self.invariants,
             now=self.now,
         )
         self._open_http(user_api)
@@ -302,6 +305,7 @@
             now,
             self.tuning,
             self.partitions.shard_names(),
+            self.invariants,
         )
 
     @property
--- a/src/dapplewick/controller/status.py
+++ b/src/dapplewick/controller/status.py
@@ -12,6 +12,7 @@
 from dapplewick.coordination.identity import Identity
 from dapplewick.coordination.peer_exchange import PeerExchange
 from dapplewick.coordination.presence import Presence
+from dapplewick.core.invariants import InvariantCounts
 from dapplewick.core.shard.scheduler import ShardScheduler
 from dapplewick.storage.keys import LEADER, SHARDS
 from dapplewick.storage.rate_limiter import RateLimiter
@@ -34,6 +35,7 @@
     cloud_budget: RateLimiter
     schedulers: Mapping[ShardName, ShardScheduler]
     latencies: Latencies
+    invariants: InvariantCounts
     now: Callable[[], Seconds]
 
     def describe(self) -> dict[str, Any]:
@@ -67,8 +69,14 @@
                 name: _describe_shard(now, scheduler) for name, scheduler in self.schedulers.items()
             },
             "latencies_ms": self.latencies.view(),
+            **self._describe_violations(),
         }
 
+    def _describe_violations(self) -> dict[str, Any]:
+        """The violated invariants; nothing if all have held."""
+        violations = self.invariants.violations
+        return {"violations": dict(violations)} if violations else {}
+
     def _count_jobs(self) -> dict[str, int]:
         """The number of jobs in each stage."""
         counts: dict[str, int] = {}
--- a/src/dapplewick/core/leader/planner.py
+++ b/src/dapplewick/core/leader/planner.py
@@ -14,6 +14,7 @@
 from dapplewick.config import Settings
 from dapplewick.core.demand import AcceleratorDemand, GangDemand
 from dapplewick.core.estimates import Estimates
+from dapplewick.core.invariants import InvariantCounts
 from dapplewick.core.leader.array_assignment import ArrayAssignment
 from dapplewick.core.leader.array_order import ArrayOrder
 from dapplewick.core.leader.capacity_requests import CapacityRequestPlanner
@@ -21,6 +22,7 @@
 from dapplewick.core.leader.cluster_scaling import SCALING_S, ClusterScaling
 from dapplewick.core.leader.job_drafts import JobDrafts
 from dapplewick.core.leader.job_writes import JobWrites
+from dapplewick.core.leader.limit_audit import LimitAudit
 from dapplewick.core.leader.load_log import LoadLog
 from dapplewick.core.leader.machine_lifecycle import MachineLifecycle, Silence
 from dapplewick.core.leader.machine_types import MachineTypes
@@ -86,9 +88,11 @@
         now: Seconds,
         tuning: Tuning | None = None,
         shard_names: list[str] | None = None,
+        invariants: InvariantCounts | None = None,
     ) -> None:
         # Long, but for one thing only: each piece is given what it needs, in one place to read.
         tuning = tuning or Tuning()
+        invariants = invariants or InvariantCounts()
         deployment = settings.deployment
         limits = deployment.state.lowest()
         zones = deployment.zones
@@ -121,7 +125,8 @@
         self._machine_types = MachineTypes(cache, limits.value_bytes)
         self._reconciliation = Reconciliation(cache, drafts, observed, tuning.patience_s)
         self._quotas = TeamQuotas(deployment.teams, drafts)
-        self.contacts = ShardContacts(cache, zones, observed)
+        self.contacts = ShardContacts(cache, zones, observed, invariants)
+        self._limit_audit = LimitAudit(cache, observed, self.contacts, invariants)
         self._capacity_view = CapacityView(cache, drafts, observed, self._demand, self.contacts)
         self._waiting_gangs = WaitingGangs(
             drafts, self._quotas, self._demand, provisioner, estimates, tuning, zones, self._ids
@@ -220,6 +225,7 @@
         self._drafts.clear()
         self.contacts.note_owners(now)
         self.contacts.check(now)
+        self._limit_audit.check(now)
         self.machine_lifecycle.begin()
         self._reconciliation.reconcile(now)
         self._review_machines(now, wall_time)
--- a/src/dapplewick/core/leader/shard_contacts.py
+++ b/src/dapplewick/core/leader/shard_contacts.py
@@ -10,6 +10,7 @@
 from collections.abc import Iterable
 from typing import NamedTuple
 
+from dapplewick.core.invariants import Invariant, InvariantCounts
 from dapplewick.core.leader.observed_shard import ObservedShard, ObservedShards
 from dapplewick.storage.keys import SHARDS
 from dapplewick.storage.watch_cache import WatchCache
@@ -32,19 +33,21 @@
 
 
 class ShardContacts:
-    """The age of what the leader knows of each shard that has an owner.
-
-    Attributes:
-        violations: How often a shard stayed unheard though it should have been moved.
-    """
-
-    def __init__(self, cache: WatchCache, zones: Iterable[str], shards: ObservedShards) -> None:
+    """The age of what the leader knows of each shard that has an owner."""
+
+    def __init__(
+        self,
+        cache: WatchCache,
+        zones: Iterable[str],
+        shards: ObservedShards,
+        invariants: InvariantCounts,
+    ) -> None:
         self._cache = cache
         self._zones = frozenset(zones)
         self._shards = shards
         self._owners_seen: dict[ShardName, _OwnerSeen] = {}
         self._unheard_passes: dict[ShardName, int] = {}
-        self.violations = 0
+        self._invariants = invariants
 
     def note_owners(self, now: Seconds) -> None:
         """Note since when each shard has its owner: a new one has yet to tell of itself."""
@@ -90,7 +93,7 @@
         for name in sorted(unheard):
             passes = self._unheard_passes[name] = self._unheard_passes.get(name, 0) + 1
             if passes == MOVE_PASSES + len(self._cache.shards):
-                self.violations += 1
+                self._invariants.violated(Invariant.SHARDS_ARE_HEARD)
                 log.error(
                     "event=shard_left_unheard shard=%s token=%d controller=%s unheard_s=%.1f",
                     name,
--- a/tests/standins/deployment.py
+++ b/tests/standins/deployment.py
@@ -41,7 +41,7 @@
         "yards": ZONES,
     },
 ]
-TEAMS = [
+TEAMS: list[dict[str, Any]] = [
     {"name": "red", "cpus": 0.0, "cpus_max": 0.0, "gpus": 2.0, "gpus_max": 5.0},
     {"name": "blue", "cpus": 0.0, "cpus_max": 24.0, "gpus": 0.0, "gpus_max": 0.0},
 ]
--- a/tests/standins/rules.py
+++ b/tests/standins/rules.py
@@ -4,7 +4,7 @@
 
 from typing import TYPE_CHECKING, Any
 
-from standins.deployment import TEAMS, TYPES, WORKERS
+from standins.deployment import TYPES, WORKERS
 from standins.virtual_time import now
 from standins.worker import Worker
 
@@ -59,14 +59,14 @@
                 self.world.violations.append(f"wrong_place {name} scatter")
 
     def _check_quota(self, name: str, job: dict[str, Any], there: list[tuple[Worker, str]]) -> None:
-        team = next(t for t in TEAMS if t["name"] == job["crew"])
+        team = next(t for t in self.world.teams if t["name"] == job["crew"])
         for limit, field in (("cpus_max", "cpus"), ("gpus_max", "accelerators")):
             used = sum(
                 self.world.jobs[n.rpartition("/")[0]][field]
                 for _, n in there
                 if self.world.jobs[n.rpartition("/")[0]]["crew"] == job["crew"] and n != name
             )
-            if 0 < team[limit] < used + job[field] - 1e-6:  # type: ignore[operator]
+            if 0 < team[limit] < used + job[field] - 1e-6:
                 self.world.violations.append(f"quota {name}")
 
     def check_cancelled(self) -> None:
@@ -85,8 +85,11 @@
         assert self.world.calm_at is not None
         there = self.world.on_machines_or_fetching()
         where: dict[str, list[Worker]] = {}
+        jobs_on: dict[str, list[dict[str, Any]]] = {}
         for worker, name in there:
-            where.setdefault(name.rpartition("/")[0], []).append(worker)
+            job_id = name.rpartition("/")[0]
+            where.setdefault(job_id, []).append(worker)
+            jobs_on.setdefault(worker.name, []).append(self.world.jobs[job_id])
         for job_id in sorted(self.world.accepted):
             job = self.world.jobs[job_id]
             names = [f"{job_id}/{i}" for i in range(job["pieces"])]
@@ -96,7 +99,7 @@
                 self.world.told.get(job_id) in ("done", "withdrawn")
                 or job_id in self.world.cancelled_at
             )
-            if over or left <= 0 or not self.could_start(job, placed, there):
+            if over or left <= 0 or not self.could_start(job, placed, there, jobs_on):
                 self.world.waiting_since.pop(job_id, None)
                 continue
             since = max(self.world.calm_at, self.world.waiting_since.setdefault(job_id, now()))
@@ -105,7 +108,11 @@
                 self.world.waiting_since.pop(job_id)
 
     def could_start(
-        self, job: dict[str, Any], placed: list[Worker], there: list[tuple[Worker, str]]
+        self,
+        job: dict[str, Any],
+        placed: list[Worker],
+        there: list[tuple[Worker, str]],
+        jobs_on: dict[str, list[dict[str, Any]]],
     ) -> bool:
         """Whether one task of an array, or all of a gang, fit somewhere by plain counting."""
         gang = job["shape"] == "group"
@@ -114,7 +121,7 @@
         want = job["pieces"] if gang else 1
         if not self._within_quota(job, want, there):
             return False
-        rooms = self._room_by_zone(job, there)
+        rooms = self._room_by_zone(job, jobs_on)
         if job["same_place"]:
             if placed:
                 rooms = {z: n for z, n in rooms.items() if z == placed[0].zone}
@@ -127,19 +134,26 @@
     def _within_quota(
         self, job: dict[str, Any], want: int, there: list[tuple[Worker, str]]
     ) -> bool:
-        team = next(t for t in TEAMS if t["name"] == job["crew"])
+        team = next(t for t in self.world.teams if t["name"] == job["crew"])
         for limit, field in (("cpus_max", "cpus"), ("gpus_max", "accelerators")):
             used = sum(
                 self.world.jobs[n.rpartition("/")[0]][field]
                 for _, n in there
                 if self.world.jobs[n.rpartition("/")[0]]["crew"] == job["crew"]
             )
-            if 0 < team[limit] < used + want * job[field] - 1e-6:  # type: ignore[operator]
+            if 0 < team[limit] < used + want * job[field] - 1e-6:
                 return False
         return True
 
-    def _room_by_zone(self, job: dict[str, Any], there: list[tuple[Worker, str]]) -> dict[str, int]:
-        """How many tasks of a job would fit on the machines of each zone now."""
+    def _room_by_zone(
+        self, job: dict[str, Any], jobs_on: dict[str, list[dict[str, Any]]]
+    ) -> dict[str, int]:
+        """How many tasks of a job would fit on the machines of each zone now.
+
+        Args:
+            job: The job.
+            jobs_on: The job of each task on a machine, by the machine's name.
+        """
         rooms: dict[str, int] = {}
         for worker in self.world.workers.values():
             if (
@@ -156,9 +170,7 @@
             kind = next(t for t in TYPES if t["sku"] == worker.type)
             fit = 99.0
             for field in ("cpus", "accelerators", "ram_gb"):
-                used = sum(
-                    self.world.jobs[n.rpartition("/")[0]][field] for w, n in there if w is worker
-                )
+                used = sum(other[field] for other in jobs_on.get(worker.name, ()))
                 if job[field] > 0:
                     room = float(kind[field]) - used + 1e-6  # type: ignore[arg-type]
                     fit = min(fit, room // job[field])
--- a/tests/standins/world.py
+++ b/tests/standins/world.py
@@ -19,7 +19,7 @@
 from standins import recorder
 from standins.answers import AnswerHistory, Question
 from standins.cloud import Cloud
-from standins.deployment import ZONES, settings, zone_of
+from standins.deployment import TEAMS, ZONES, settings, zone_of
 from standins.network import Link, Wire
 from standins.rules import RuleChecker
 from standins.state_service import StateService
@@ -32,6 +32,7 @@
 
     def __init__(self, seed: int, count: int = 3, zones: list[str] = ZONES) -> None:
         self.random = random.Random(seed)
+        self.teams: list[dict[str, Any]] = TEAMS
         self.zones = zones
         self.cut_zone = ""  # a zone whose controllers and workers reach only one another
         self.names = [f"n{i}" for i in range(count)]
--- a/tests/support/real_world.py
+++ b/tests/support/real_world.py
@@ -14,7 +14,7 @@
 
 from dapplewick.transport.http import Request, Response, serve_connection
 from dapplewick.transport.http_client import HttpClient, HttpError
-from standins import ZONES, World, deployment
+from standins import World, deployment, zone_of
 from support.paths import ROOT
 
 
@@ -36,29 +36,41 @@
         ports = free_ports(2 * count + 2)
         self.state_port, self.cloud_port = ports[:2]
         self.client_ports = dict(zip(self.names, ports[2 : 2 + count], strict=True))
-        self.peer_ports = peer_ports = dict(zip(self.names, ports[2 + count :], strict=True))
+        self.peer_ports = dict(zip(self.names, ports[2 + count :], strict=True))
+        self.folder = folder
         self.options: list[str] = []  # before the settings file
         self.processes: dict[str, subprocess.Popen[bytes]] = {}
         self.files: dict[str, Path] = {}
-        for n, name in enumerate(self.names):
+        self.write_settings(deployment(count), self.peer_ports, self.state_port, self.cloud_port)
+
+    def write_settings(
+        self,
+        deployment_settings: dict[str, Any],
+        peer_ports: dict[str, int],
+        state_port: int,
+        cloud_port: int,
+        names: list[str] | None = None,
+    ) -> None:
+        """Write the settings files of controllers, which find others at these ports."""
+        for name in names or self.names:
             value = {
                 "host_name": name,
-                "zone": ZONES[n % 2],
+                "zone": zone_of(name, self.zones),
                 "client_listen": f"127.0.0.1:{self.client_ports[name]}",
-                "peer_listen": f"127.0.0.1:{peer_ports[name]}",
+                "peer_listen": f"127.0.0.1:{self.peer_ports[name]}",
                 "peers": [
                     {"host_name": o, "zone": "a", "peer_addr": f"127.0.0.1:{peer_ports[o]}"}
                     for o in self.names
                     if o != name
                 ],
                 "outside": {
-                    "cloud": f"127.0.0.1:{self.cloud_port}",
-                    "state": f"127.0.0.1:{self.state_port}",
+                    "cloud": f"127.0.0.1:{cloud_port}",
+                    "state": f"127.0.0.1:{state_port}",
                 },
-                "deployment": deployment(count),
+                "deployment": deployment_settings,
                 "a_new_field": [1, 2, 3],
             }
-            self.files[name] = folder / f"{name}.json"
+            self.files[name] = self.folder / f"{name}.json"
             self.files[name].write_text(json.dumps(value))
 
     def start_controller(self, name: str) -> None:
--- /dev/null
+++ b/tests/support/relay.py
@@ -0,0 +1,85 @@
+"""A relay between two processes on loopback, which can refuse, reset, hold and delay."""
+
+from __future__ import annotations
+
+from enum import Enum, auto
+
+import anyio
+import anyio.abc
+
+POLL_S = 0.05
+ENDED = (
+    OSError,
+    anyio.EndOfStream,
+    anyio.BrokenResourceError,
+    anyio.ClosedResourceError,
+)
+
+
+class RelayMode(Enum):
+    """How the network treats a way."""
+
+    OPEN = auto()
+    HELD = auto()  # nothing arrives until it is open again
+    REFUSED = auto()  # connections are reset, and new ones end at once
+
+
+class Relay:
+    """One direction's way from a process to a port; each has a port of its own."""
+
+    def __init__(self, target_port: int) -> None:
+        self._target_port = target_port
+        self._mode = RelayMode.OPEN
+        self._connections: set[anyio.CancelScope] = set()
+        self.port = 0
+        self._listener: anyio.abc.Listener[anyio.abc.SocketStream] | None = None
+
+    async def open(self) -> None:
+        """Listen; the port is known from then on."""
+        listener = await anyio.create_tcp_listener(local_host="127.0.0.1", local_port=0)
+        self.port = listener.extra(anyio.abc.SocketAttribute.local_port)
+        self._listener = listener
+
+    async def run(self) -> None:
+        """Pass on what comes, until cancelled."""
+        assert self._listener is not None
+        async with self._listener:
+            await self._listener.serve(self._relay)
+
+    def set_mode(self, mode: RelayMode) -> None:
+        """Treat the way differently from now on."""
+        self._mode = mode
+        if mode is RelayMode.REFUSED:
+            for scope in list(self._connections):
+                scope.cancel()
+
+    async def _relay(self, near: anyio.abc.SocketStream) -> None:
+        async with near:
+            if self._mode is RelayMode.REFUSED:
+                return
+            with anyio.CancelScope() as scope:
+                self._connections.add(scope)
+                try:
+                    far = await anyio.connect_tcp("127.0.0.1", self._target_port)
+                    async with far, anyio.create_task_group() as group:
+                        group.start_soon(self._pass_on, near, far, group.cancel_scope)
+                        group.start_soon(self._pass_on, far, near, group.cancel_scope)
+                except ENDED:
+                    pass
+                finally:
+                    self._connections.discard(scope)
+
+    async def _pass_on(
+        self,
+        source: anyio.abc.SocketStream,
+        sink: anyio.abc.SocketStream,
+        both: anyio.CancelScope,
+    ) -> None:
+        try:
+            while True:
+                data = await source.receive(65536)
+                while self._mode is RelayMode.HELD:
+                    await anyio.sleep(POLL_S)
+                await sink.send(data)
+        except ENDED:
+            both.cancel()
