--- a/tests/support/mutations.py
+++ b/tests/support/mutations.py
@@ -8,6 +8,7 @@
 
 from dapplewick.controller.record_follower import RecordFollower
 from dapplewick.core.leader.quotas import TeamQuotas
+from dapplewick.core.leader.shard_contacts import ShardContacts
 from dapplewick.core.shard.constraints import PlacementConstraints
 from dapplewick.core.shard.heartbeats import HeartbeatReconciler
 from dapplewick.core.shard.stops import Stops
@@ -43,3 +44,16 @@
 
 def any_machine_will_do(patch: pytest.MonkeyPatch) -> None:
     patch.setattr(PlacementConstraints, "allow", lambda *_: True)
+
+
+def unheard_shards_stay(patch: pytest.MonkeyPatch) -> None:
+    patch.setattr(ShardContacts, "unheard", lambda *_: set())
+
+
+# Guards that a soak run has to notice when they are taken out, by name.
+SOAK_GUARDS: dict[str, Patch] = {
+    "wait-for-unheard-machines": no_wait_for_unheard_machines,
+    "stop-of-cancelled-tasks": no_stop_of_cancelled_tasks,
+    "team-limit": no_team_limit,
+    "move-of-unheard-shards": unheard_shards_stay,
+}
--- /dev/null
+++ b/tests/support/soak.py
@@ -0,0 +1,189 @@
+"""One soak run: a drawn schedule of faults on real controllers, and the verdict on it."""
+
+from __future__ import annotations
+
+import math
+from pathlib import Path
+from typing import Any, NamedTuple
+
+import anyio
+
+from dapplewick import client
+from dapplewick.errors import DapplewickError
+from standins import WORKERS, now
+from support.scenario_checks import final_check_failures
+from support.soak_faults import FaultPlayer
+from support.soak_schedule import draw_schedule, end_of
+from support.soak_users import SERVICE_JOB, SoakUsers, draw_jobs, fleet_job, service_job
+from support.soak_world import SoakWorld
+
+# How long it may take after the last fault until work flows: a presence lease of 5 s and the moves
+# of shards after it, a worker's lease until silent machines are deleted, 10 s until new ones are
+# up, and the pauses of 5 to 20 s after which calls, gangs and moves are made anew.
+RECOVERY_S = 5.0 + float(WORKERS["lease_s"]) + 10.0 + 30.0
+WASTE = 2.0  # a task waits for a heartbeat and an image, and gangs for one another
+TASK_OVERHEAD_S = 4.0
+
+
+class SoakResult(NamedTuple):
+    """What a run has shown.
+
+    Attributes:
+        seed: what it was drawn from.
+        violations: what was broken; empty if nothing was.
+        jobs: how many jobs were accepted.
+        most_machines: how many machines were there at a time, at most.
+        served_after_s: how long after the last fault all jobs were over.
+    """
+
+    seed: int
+    violations: list[str]
+    jobs: int
+    most_machines: int
+    served_after_s: float
+
+    def line(self) -> str:
+        """The result as one line of text."""
+        verdict = "BROKEN" if self.violations else "ok"
+        return (
+            f"seed {self.seed}: {verdict}, {self.jobs} jobs, at most {self.most_machines} "
+            f"machines, all over {self.served_after_s:.0f} s after the last fault"
+        )
+
+
+class SoakOptions(NamedTuple):
+    """The size of a run, and what starts its controllers."""
+
+    machines: int = 0  # an array that takes so many is submitted too
+    jobs: int = 40
+    program: tuple[str, ...] = ()  # in place of run.py
+
+
+def work_left_s(world: SoakWorld) -> float:
+    """How long the work that is left takes at the limits of its teams."""
+    longest_s = 0.0
+    for team in world.teams:
+        cpu_s = gpu_s = 0.0
+        for job_id in world.accepted:
+            body = world.jobs[job_id]
+            if body["crew"] != team["name"] or body["shape"] == "daemon":
+                continue
+            left = sum(f"{job_id}/{n}" not in world.results for n in range(body["pieces"]))
+            seconds = left * (body["true_s"] + TASK_OVERHEAD_S)
+            cpu_s += body["cpus"] * seconds
+            gpu_s += body["accelerators"] * seconds
+        for work_s, limit in ((cpu_s, team["cpus_max"]), (gpu_s, team["gpus_max"])):
+            if limit > 0:
+                longest_s = max(longest_s, work_s / limit)
+    return longest_s
+
+
+def unsettled(world: SoakWorld) -> list[str]:
+    """The accepted jobs that are not over, or whose replicas do not all run."""
+    running = {name for _, name in world.on_machines()}
+    left = []
+    for job_id in sorted(world.accepted):
+        body = world.jobs[job_id]
+        if body["shape"] == "daemon":
+            settled = all(f"{job_id}/{n}" in running for n in range(body["pieces"]))
+        else:
+            settled = world.told.get(job_id) in ("done", "withdrawn")
+        if not settled:
+            left.append(f"{job_id} ({body['bundle']}, {body['crew']}, {body['pieces']} tasks)")
+    return left
+
+
+class SoakRun:
+    """Plays one seed in a folder, which keeps settings and logs."""
+
+    def __init__(self, folder: Path, seed: int, options: SoakOptions) -> None:
+        self.schedule = draw_schedule(seed)
+        self._seed = seed
+        self._options = options
+        self._world = SoakWorld(folder, seed)
+        if options.program:
+            self._world.program = list(options.program)
+        self._most_machines = 0
+        self._served_after_s = math.inf
+
+    async def play(self) -> SoakResult:
+        """Play the run to its end; all its processes have ended then."""
+        await self._world.run(self._script)
+        return SoakResult(
+            self._seed,
+            self._violations(),
+            len(self._world.accepted),
+            self._most_machines,
+            self._served_after_s,
+        )
+
+    async def _script(self) -> None:
+        world, users = self._world, SoakUsers(self._world, self._seed)
+        jobs = draw_jobs(self._seed, self._options.jobs, world)
+        jobs.insert(2, service_job(world))
+        if self._options.machines:
+            jobs.insert(0, fleet_job(world, self._options.machines))
+        async with anyio.create_task_group() as group:
+            group.start_soon(users.probe)
+            group.start_soon(self._count_machines)
+            async with anyio.create_task_group() as troubles:
+                troubles.start_soon(FaultPlayer(world).play, self.schedule)
+                troubles.start_soon(users.submit, jobs, end_of(self.schedule))
+            world.calm_at = now()
+            await self._wait_until_served()
+            await self._ask_for_violations()
+            group.cancel_scope.cancel()
+
+    async def _count_machines(self) -> None:
+        while True:
+            self._most_machines = max(self._most_machines, len(self._world.workers))
+            await anyio.sleep(1.0)
+
+    async def _wait_until_served(self) -> None:
+        """Wait until all jobs are over, or the time for that has passed."""
+        world = self._world
+        assert world.calm_at is not None
+        bound_s = RECOVERY_S + WASTE * work_left_s(world)
+        expected = self._options.jobs + 1 + bool(self._options.machines)
+        while now() - world.calm_at < bound_s:
+            await anyio.sleep(1.0)
+            if len(world.accepted) == expected and not unsettled(world):
+                self._served_after_s = now() - world.calm_at
+                return
+        if len(world.accepted) < expected:
+            world.violations.append(f"{expected - len(world.accepted)} jobs were not accepted")
+        world.violations += [f"unserved after {bound_s:.0f} s: {job}" for job in unsettled(world)]
+
+    async def _ask_for_violations(self) -> None:
+        """Ask each controller which invariants it found violated."""
+        for name, port in self._world.peer_ports.items():
+            try:
+                status = await client.status(f"127.0.0.1:{port}")
+            except (DapplewickError, OSError, TimeoutError) as err:
+                self._world.violations.append(f"no status of {name}: {err!r}")
+                continue
+            for invariant, count in status.get("violations", {}).items():
+                self._world.violations.append(f"{name} violated {invariant} {count} times")
+
+    def _violations(self) -> list[str]:
+        world = self._world
+        found = [*dict.fromkeys(world.violations)]
+        served = [v for v in final_check_failures(world) if SERVICE_JOB not in v]
+        return [*found, *served, *self._logged_errors()]
+
+    def _logged_errors(self) -> list[str]:
+        """Error events in the controllers' logs: each is a defect."""
+        return [
+            f"{name} logged {line[:300]}"
+            for name in self._world.names
+            for line in (self._world.folder / f"{name}.log").read_text().splitlines()
+            if line.startswith("ERROR ")
+        ]
+
+
+def play_seed(folder: Path, seed: int, options: SoakOptions) -> SoakResult:
+    """Play one seed; what the folder holds is left to the caller."""
+    run = SoakRun(folder, seed, options)
+    result: Any = anyio.run(run.play)
+    assert isinstance(result, SoakResult)
+    return result
