--- a/src/dapplewick/cli/status_text.py
+++ b/src/dapplewick/cli/status_text.py
@@ -60,6 +60,15 @@
     max: float
 
 
+class WaitingGroup(TypedDict):
+    """Jobs of a class, a team, or the largest of a class, that wait for long."""
+
+    name: str
+    oldest_s: float
+    jobs: int
+    reasons: dict[str, int]
+
+
 class ControllerStatus(TypedDict):
     """What a controller tells of itself, with the names that the wire has."""
 
@@ -79,6 +88,7 @@
     owned: dict[str, OwnedShard]
     latencies_ms: dict[str, Latency]
     violations: NotRequired[dict[str, int]]  # of invariants
+    waiting: NotRequired[list[WaitingGroup]]  # for long, as the leader sees it
 
 
 def status_lines(answer: dict[str, Any]) -> list[str]:
@@ -91,6 +101,7 @@
         *_owned_lines(status),
         *_latency_lines(status),
         *_violation_lines(status),
+        *_waiting_lines(status),
     ]
 
 
@@ -160,3 +171,14 @@
         f"violated {invariant}  count {count}"
         for invariant, count in sorted(status.get("violations", {}).items())
     ]
+
+
+def _waiting_lines(status: ControllerStatus) -> list[str]:
+    lines = []
+    for group in status.get("waiting", []):
+        reasons = "  ".join(f"{reason} {count}" for reason, count in group["reasons"].items())
+        lines.append(
+            f"waiting {group['name']}  jobs {group['jobs']}  oldest {group['oldest_s']:.0f} s  "
+            f"{reasons}"
+        )
+    return lines
--- a/src/dapplewick/controller/controller.py
+++ b/src/dapplewick/controller/controller.py
@@ -205,6 +205,7 @@
             schedulers=self.shard_schedulers,
             latencies=self.latencies,
             invariants=self.invariants,
+            leadership=self.leadership,
             now=self.now,
         )
         self._open_http(user_api)
--- a/src/dapplewick/controller/status.py
+++ b/src/dapplewick/controller/status.py
@@ -10,6 +10,7 @@
 from dapplewick.controller.latencies import Latencies
 from dapplewick.controller.record_follower import RecordFollower
 from dapplewick.coordination.identity import Identity
+from dapplewick.coordination.leadership import Leadership
 from dapplewick.coordination.peer_exchange import PeerExchange
 from dapplewick.coordination.presence import Presence
 from dapplewick.core.invariants import InvariantCounts
@@ -36,6 +37,7 @@
     schedulers: Mapping[ShardName, ShardScheduler]
     latencies: Latencies
     invariants: InvariantCounts
+    leadership: Leadership
     now: Callable[[], Seconds]
 
     def describe(self) -> dict[str, Any]:
@@ -70,6 +72,7 @@
             },
             "latencies_ms": self.latencies.view(),
             **self._describe_violations(),
+            **self._describe_waiting(),
         }
 
     def _describe_violations(self) -> dict[str, Any]:
@@ -77,6 +80,13 @@
         violations = self.invariants.violations
         return {"violations": dict(violations)} if violations else {}
 
+    def _describe_waiting(self) -> dict[str, Any]:
+        """The groups of jobs that wait for long, and why, if this controller leads."""
+        planner = self.leadership.planner
+        if planner is None or not planner.wait_reasons.groups:
+            return {}
+        return {"waiting": [group._asdict() for group in planner.wait_reasons.groups]}
+
     def _count_jobs(self) -> dict[str, int]:
         """The number of jobs in each stage."""
         counts: dict[str, int] = {}
--- a/src/dapplewick/core/leader/cluster_scaling.py
+++ b/src/dapplewick/core/leader/cluster_scaling.py
@@ -7,7 +7,7 @@
 import msgspec
 
 from dapplewick.core.leader.array_order import PendingArray
-from dapplewick.core.leader.capacity_requests import CapacityRequestPlanner
+from dapplewick.core.leader.capacity_requests import CapacityRequest, CapacityRequestPlanner
 from dapplewick.core.leader.machine_lifecycle import MachineLifecycle
 from dapplewick.core.leader.provisioner import Provisioner
 from dapplewick.core.leader.scale_in import ScaleIn
@@ -33,6 +33,7 @@
     Attributes:
         provisioned: The cloud's answers to provisioning requests that are still recorded: the
             machines that it gave, or None if it refused.
+        unmet: The requests for which nothing could be provisioned when that was decided last.
     """
 
     def __init__(
@@ -56,6 +57,7 @@
         self._started_at = now
         self._scaled_at = -1e9
         self.provisioned: dict[str, list[MachineId] | None] = {}
+        self.unmet: list[CapacityRequest] = []
 
     def changes(
         self,
@@ -73,6 +75,7 @@
             spare_slots = self._scale_in.spare_slots(shard_capacities)
             wanted = self._provisioner.scale_out(now, wall_time, requests, shard_capacities)
             changes += [self._request(request) for request in wanted.requests]
+            self.unmet = wanted.unmet
             self._scale_in.terminate_idle(wanted.unmet, spare_slots)
         return changes
 
--- a/src/dapplewick/core/leader/planner.py
+++ b/src/dapplewick/core/leader/planner.py
@@ -33,6 +33,7 @@
 from dapplewick.core.leader.scale_in import ScaleIn
 from dapplewick.core.leader.shard_contacts import ShardContacts
 from dapplewick.core.leader.term_ids import TermIds
+from dapplewick.core.leader.wait_reasons import WaitReasons
 from dapplewick.core.leader.waiting_gangs import WaitingGangs
 from dapplewick.protocol.cloud import MachineList, MachineType
 from dapplewick.protocol.peers import MachineStatus, ShardStatus
@@ -74,6 +75,7 @@
     Attributes:
         shards: What is known of each shard.
         contacts: How long ago each shard was heard.
+        wait_reasons: Why work waits.
         machine_lifecycle: What is known of each machine, beside its record.
         provisioned: The cloud's answers to provisioning requests.
         partitions: Where zones have partitions, who moves machines between these.
@@ -150,6 +152,7 @@
             self._ids,
             now,
         )
+        self.wait_reasons = WaitReasons(cache, drafts, observed, self.contacts, self._quotas, now)
         self._load_log = LoadLog(drafts, provisioner, now)
         self.shards = observed.by_name
         self.provisioned = self._scaling.provisioned
@@ -240,6 +243,13 @@
         self._array_assignment.assign(
             shard_capacities, self._array_order.behind_gangs(wall_time, pending)
         )
+        self.wait_reasons.note(
+            now,
+            wall_time,
+            shard_capacities,
+            self._provisioner,
+            self._scaling.unmet,
+        )
         types = self._machine_types.changes()
         requests = self._scaling.changes(now, wall_time, shard_capacities, pending)
         moves = self._partition_changes(now, wall_time)
