--- a/tests/support/soak.py
+++ b/tests/support/soak.py
@@ -9,6 +9,7 @@
 import anyio
 
 from dapplewick import client
+from dapplewick.core.leader.shard_contacts import UNHEARD_S
 from dapplewick.errors import DapplewickError
 from standins import WORKERS, now
 from support.scenario_checks import final_check_failures
@@ -17,10 +18,11 @@
 from support.soak_users import SERVICE_JOB, SoakUsers, draw_jobs, fleet_job, service_job
 from support.soak_world import SoakWorld
 
-# How long it may take after the last fault until work flows: a presence lease of 5 s and the moves
-# of shards after it, a worker's lease until silent machines are deleted, 10 s until new ones are
-# up, and the pauses of 5 to 20 s after which calls, gangs and moves are made anew.
-RECOVERY_S = 5.0 + float(WORKERS["lease_s"]) + 10.0 + 30.0
+# How long it may take after the last fault until work flows: a presence lease of 5 s, the time
+# after which an unheard shard is moved, a lease until silent machines are deleted, 10 s until
+# new ones are up, and 20 s for calls, gangs and moves that are made anew after a pause.
+RECOVERY_S = 5.0 + UNHEARD_S + float(WORKERS["lease_s"]) + 10.0 + 20.0
+SETTLE_S = 1.0  # after the end of a fault, until what it kept back is on its way
 WASTE = 2.0  # a task waits for a heartbeat and an image, and gangs for one another
 TASK_OVERHEAD_S = 4.0
 
@@ -127,7 +129,8 @@
             group.start_soon(users.probe)
             group.start_soon(self._count_machines)
             async with anyio.create_task_group() as troubles:
-                troubles.start_soon(FaultPlayer(world).play, self.schedule)
+                group.start_soon(FaultPlayer(world).play, self.schedule)
+                troubles.start_soon(anyio.sleep, end_of(self.schedule) + SETTLE_S)
                 troubles.start_soon(users.submit, jobs, end_of(self.schedule))
             world.calm_at = now()
             await self._wait_until_served()
--- a/tests/support/soak_schedule.py
+++ b/tests/support/soak_schedule.py
@@ -2,11 +2,14 @@
 
 from __future__ import annotations
 
+import math
 import random
 from enum import StrEnum
 from typing import NamedTuple
 
 QUIET_START_S = 12.0  # jobs come and machines are up before the first fault
+# Peers that refuse one another for good: the service has to do without what they would say.
+UNTIL_THE_END_S = math.inf
 GAP_S = (2.0, 6.0)  # between two episodes of overlapping faults
 EPISODES = 3
 
@@ -78,8 +81,8 @@
     FaultKind.STATE_SLOW: (10.0, 20.0),
     FaultKind.LATE_WRITES: (10.0, 20.0),
     FaultKind.LOST_ANSWERS: (10.0, 20.0),
-    FaultKind.PEERS_REFUSE: (10.0, 45.0),
-    FaultKind.PEERS_RESET: (10.0, 45.0),
+    FaultKind.PEERS_REFUSE: (10.0, 45.0, UNTIL_THE_END_S),
+    FaultKind.PEERS_RESET: (10.0, 45.0, UNTIL_THE_END_S),
     FaultKind.PEERS_HELD: (10.0, 45.0),
     FaultKind.ALONE: (8.0, 20.0),
     FaultKind.WORKERS_CUT: (8.0, 18.0),
@@ -112,5 +115,7 @@
 
 
 def end_of(faults: list[Fault]) -> float:
-    """When the last fault is over."""
-    return max(fault.at_s + fault.for_s for fault in faults)
+    """When the last fault is over, but for those that last until the end of the run."""
+    return max(
+        fault.at_s if math.isinf(fault.for_s) else fault.at_s + fault.for_s for fault in faults
+    )
--- /dev/null
+++ b/tests/unit/test_wait_reasons.py
@@ -0,0 +1,128 @@
+"""Why work waits: each reason from a pass of the leader that leaves a job waiting for it."""
+
+from __future__ import annotations
+
+import logging
+from collections.abc import Callable
+
+import pytest
+from msgspec.structs import replace
+
+import standins
+from dapplewick.core.estimates import Estimates
+from dapplewick.core.leader.planner import LeaderPlanner
+from dapplewick.core.leader.wait_reasons import LONG_WAIT_S, REPORT_S, WaitingGroup, WaitReason
+from dapplewick.protocol.cloud import encode_machine_types
+from dapplewick.protocol.job_spec import JobSpec
+from dapplewick.protocol.peers import GANG_HELD, GangStatus
+from dapplewick.storage.job_records import GangPlacement, JobRecord
+from dapplewick.storage.keys import JOBS, PROVISIONING_REQUESTS, TYPES
+from dapplewick.storage.watch_cache import WatchCache
+from dapplewick.types import FencingToken, JobId
+from support.shard_bench import KIND, group, shard_status, spec
+
+JOB = JobId("run-1")
+AT = LONG_WAIT_S + REPORT_S + 1.0
+BLUE_GANG = replace(spec(7, 4.0, 10.0, is_gang=True), team="blue")  # 28 CPUs, and its limit is 24
+ARRAY = spec(3, 4.0, 10.0)
+
+
+def reported(
+    job: JobRecord,
+    idle: int = 0,
+    status_age_s: float = 0.0,
+    gang: GangStatus | None = None,
+    coming: bool = False,
+) -> list[WaitingGroup]:
+    """What the leader reports of one job, with so many idle machines beside busy ones."""
+    cache = WatchCache()
+    cache.put(TYPES, encode_machine_types([KIND]), 1)
+    cache.put("dw/p/a", {"owner": "n0", "boot": "x"}, 2)
+    for n in range(2):
+        cache.put(f"dw/m/vm-{n}", group(f"vm-{n}"), 10 + n)
+    cache.put(JOBS + JOB, job.dump(), 100)
+    if coming:
+        value = {"type": KIND.name, "zone": "a", "spot": False, "count": 1, "at": AT}
+        cache.put(PROVISIONING_REQUESTS + "r-1", value, 101)
+    planner = LeaderPlanner(cache, standins.settings("n0"), Estimates(), FencingToken(9), 0.0)
+    machines = {
+        f"vm-{n}": {
+            "free": (4.0, 0.0, 64.0) if n < idle else (0.0, 0.0, 63.0),
+            "ends": [] if n < idle else [(AT + 1000.0, 4.0, 0.0, 1.0, 99, "")],
+            "queued": 0,
+            "usable": True,
+            "heard": True,
+            "leaving": False,
+            "faulty": False,
+            "images": [],
+        }
+        for n in range(2)
+    }
+    status = shard_status(machines, 1, AT - status_age_s)
+    status.gangs = {JOB: gang} if gang is not None else {}
+    planner.shard_status(AT - status_age_s, status)
+    planner.plan(AT, AT)
+    return planner.wait_reasons.groups
+
+
+def record(wanted: JobSpec, **fields: object) -> JobRecord:
+    made = JobRecord(wanted, 0.0)
+    for name, value in fields.items():
+        setattr(made, name, value)
+    return made
+
+
+PLACED = GangPlacement(5, [("a", "vm-0")])
+
+
+@pytest.mark.parametrize(
+    ("groups", "reason"),
+    [
+        (lambda: reported(record(BLUE_GANG)), WaitReason.OVER_LIMIT),
+        (lambda: reported(record(ARRAY, assignments={"a": {0}})), WaitReason.IN_SHARD_QUEUE),
+        (lambda: reported(record(ARRAY), 2, status_age_s=7.0), WaitReason.SHARD_NOT_HEARD),
+        (
+            lambda: reported(
+                record(spec(1, 4.0, 10.0, is_gang=True), gang=PLACED),
+                gang=GangStatus(5, GANG_HELD, 9.0),
+            ),
+            WaitReason.RESERVED_SLOTS_BUSY,
+        ),
+        (
+            lambda: reported(record(spec(2, 4.0, 10.0, is_gang=True)), coming=True),
+            WaitReason.MACHINES_COMING,
+        ),
+        (lambda: reported(record(spec(2, 4.0, 10.0, is_gang=True))), WaitReason.NO_SLOT),
+    ],
+    ids=lambda value: str(value) if isinstance(value, WaitReason) else "",
+)
+def test_a_job_that_waits_has_its_reason(
+    groups: Callable[[], list[WaitingGroup]], reason: WaitReason
+) -> None:
+    found = groups()
+    assert {group.name.split()[0] for group in found} == {"class", "team", "largest"}
+    for waiting in found:
+        assert waiting.reasons == {str(reason): 1}
+        assert (waiting.jobs, waiting.oldest_s) == (1, AT)
+
+
+def test_what_has_not_waited_for_long_is_not_reported() -> None:
+    assert reported(JobRecord(BLUE_GANG, AT - LONG_WAIT_S + 1.0)) == []
+
+
+def test_a_job_with_a_slot_is_not_reported(caplog: pytest.LogCaptureFixture) -> None:
+    with caplog.at_level(logging.INFO):
+        assert reported(record(spec(2, 4.0, 10.0, is_gang=True)), idle=2) == []
+    assert "event=work_waiting" not in caplog.text
+
+
+def test_the_log_names_groups_reasons_and_the_age_of_what_is_known(
+    caplog: pytest.LogCaptureFixture,
+) -> None:
+    with caplog.at_level(logging.INFO):
+        reported(record(BLUE_GANG), status_age_s=2.0)
+    lines = [line for line in caplog.messages if line.startswith("event=work_waiting")]
+    assert len(lines) == 1
+    assert f"team/blue:{AT:.0f}s:over_limit*1" in lines[0]
+    # No status can be older than the moment at which the leader saw the owner first.
+    assert "status_age_s=a:0.0" in lines[0]
