--- a/src/dapplewick/controller/controller.py
+++ b/src/dapplewick/controller/controller.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import logging
 import random
 import time
 from collections.abc import Awaitable, Callable
@@ -28,6 +27,7 @@
 from dapplewick.controller.router import Router
 from dapplewick.controller.shard_loop import ShardLoop
 from dapplewick.controller.status import ControllerStatus
+from dapplewick.controller.supervision import run_supervised
 from dapplewick.controller.user_api import UserApi
 from dapplewick.controller.worker_endpoint import WorkerEndpoint
 from dapplewick.coordination.cancellation_exchange import CancellationWatch
@@ -56,11 +56,8 @@
 if TYPE_CHECKING:
     from dapplewick.partitions.service import PartitionService
 
-log = logging.getLogger(__name__)
-
 MIN_WRITE_BURST = 6.0  # users come at once, so each controller may accept some at once
 PEER_BACKLOG = 64
-RESTART_PAUSE_S = 0.5  # before a loop that broke is started again
 
 
 class Controller:
@@ -379,7 +376,7 @@
             for link in self.links.values():
                 group.start_soon(link.run)
             if self.partitions.service is not None:
-                group.start_soon(_run_supervised, "run", self.partitions.service.run)
+                group.start_soon(run_supervised, "run", self.partitions.service.run)
             # The names are those by which the log tells of a loop that broke.
             for name, loop in (
                 ("_lease_loop", self.presence.run),
@@ -391,14 +388,4 @@
                 ("_gossip_loop", self.peers.run),
                 ("_overload_loop", self.overload.run),
             ):
-                group.start_soon(_run_supervised, name, loop)
-
-
-async def _run_supervised(name: str, loop: Callable[[], Awaitable[None]]) -> None:
-    """Run a loop; one that breaks is logged and started again, and ends nothing else."""
-    while True:
-        try:
-            await loop()
-        except Exception:
-            log.exception("event=loop_crashed loop=%s", name)
-            await anyio.sleep(RESTART_PAUSE_S)
+                group.start_soon(run_supervised, name, loop)
--- a/tests/support/shard_bench.py
+++ b/tests/support/shard_bench.py
@@ -64,6 +64,22 @@
     return {"type": "k", "zone": "a", "spot": False, "machines": {name: "u"}}
 
 
+def machine_status(
+    free: tuple[float, float, float], ends: list[Any] | None = None
+) -> dict[str, Any]:
+    """A machine of a status, usable and heard, as it stands on the wire."""
+    return {
+        "free": free,
+        "ends": ends or [],
+        "queued": 0,
+        "usable": True,
+        "heard": True,
+        "leaving": False,
+        "faulty": False,
+        "images": [],
+    }
+
+
 def shard_status(machines: dict[str, Any], number: int = 1, at: Seconds = 1.0) -> ShardStatus:
     """The first status of shard a, as the leader reads it from the wire, with these machines."""
     message = {
--- a/tests/support/soak_faults.py
+++ b/tests/support/soak_faults.py
@@ -173,28 +173,22 @@
         return self._world.random.random() < share
 
     async def _mute_machines(self, fault: Fault) -> None:
-        machines = self._some_machines(fault.share)
-        for worker in machines:
-            worker.cut = True
-        await anyio.sleep(fault.for_s)
-        for worker in machines:
-            worker.cut = False
+        await self._befall_machines(fault, "cut")
 
     async def _deafen_machines(self, fault: Fault) -> None:
-        machines = self._some_machines(fault.share)
-        for worker in machines:
-            worker.unreachable = True
-        await anyio.sleep(fault.for_s)
-        for worker in machines:
-            worker.unreachable = False
+        await self._befall_machines(fault, "unreachable")
 
     async def _hang_machines(self, fault: Fault) -> None:
+        await self._befall_machines(fault, "hanging")
+
+    async def _befall_machines(self, fault: Fault, state: str) -> None:
+        """Put some machines into a state of the stand-in for its time."""
         machines = self._some_machines(fault.share)
         for worker in machines:
-            worker.hanging = True
+            setattr(worker, state, True)
         await anyio.sleep(fault.for_s)
         for worker in machines:
-            worker.hanging = False
+            setattr(worker, state, False)
 
     async def _end_machines(self, fault: Fault) -> None:
         for worker in self._some_machines(fault.share):
--- a/tests/unit/test_scheduler_models.py
+++ b/tests/unit/test_scheduler_models.py
@@ -36,7 +36,18 @@
     TaskRef,
     TypeName,
 )
-from support.shard_bench import IN_ZONE, KIND, TOKEN, ZONE, Bench, group, shard_status, spec, starts
+from support.shard_bench import (
+    IN_ZONE,
+    KIND,
+    TOKEN,
+    ZONE,
+    Bench,
+    group,
+    machine_status,
+    shard_status,
+    spec,
+    starts,
+)
 
 
 @settings(max_examples=150, deadline=None, derandomize=True)
@@ -150,16 +161,7 @@
     machines = {}
     for n in range(idle):
         cache.put(f"dw/m/vm-{n}", group(f"vm-{n}"), 10 + n)
-        machines[f"vm-{n}"] = {
-            "free": (4.0, 0.0, 64.0),
-            "ends": [],
-            "queued": 0,
-            "usable": True,
-            "heard": True,
-            "leaving": False,
-            "faulty": False,
-            "images": [],
-        }
+        machines[f"vm-{n}"] = machine_status((4.0, 0.0, 64.0))
     gangs = [(tasks, float(n)) for n, tasks in enumerate(sizes)]
     for n, (tasks, at) in enumerate(gangs):
         cache.put(f"dw/j/run-{n}", JobRecord(spec(tasks, 4.0, 10.0, True), at).dump(), 100 + n)
--- a/tests/unit/test_wait_reasons.py
+++ b/tests/unit/test_wait_reasons.py
@@ -19,7 +19,7 @@
 from dapplewick.storage.keys import JOBS, PROVISIONING_REQUESTS, TYPES
 from dapplewick.storage.watch_cache import WatchCache
 from dapplewick.types import FencingToken, JobId
-from support.shard_bench import KIND, group, shard_status, spec
+from support.shard_bench import KIND, group, machine_status, shard_status, spec
 
 JOB = JobId("run-1")
 AT = LONG_WAIT_S + REPORT_S + 1.0
@@ -46,16 +46,9 @@
         cache.put(PROVISIONING_REQUESTS + "r-1", value, 101)
     planner = LeaderPlanner(cache, standins.settings("n0"), Estimates(), FencingToken(9), 0.0)
     machines = {
-        f"vm-{n}": {
-            "free": (4.0, 0.0, 64.0) if n < idle else (0.0, 0.0, 63.0),
-            "ends": [] if n < idle else [(AT + 1000.0, 4.0, 0.0, 1.0, 99, "")],
-            "queued": 0,
-            "usable": True,
-            "heard": True,
-            "leaving": False,
-            "faulty": False,
-            "images": [],
-        }
+        f"vm-{n}": machine_status((4.0, 0.0, 64.0))
+        if n < idle
+        else machine_status((0.0, 0.0, 63.0), [(AT + 1000.0, 4.0, 0.0, 1.0, 99, "")])
         for n in range(2)
     }
     status = shard_status(machines, 1, AT - status_age_s)
--- a/tests/unit/test_waiting_gangs.py
+++ b/tests/unit/test_waiting_gangs.py
@@ -26,7 +26,7 @@
 from dapplewick.storage.keys import JOBS, MACHINES, TYPES
 from dapplewick.storage.watch_cache import WatchCache
 from dapplewick.types import FencingToken, JobId, MachineId, Resources, ShardName, TypeName, zone_of
-from support.shard_bench import KIND, group, shard_status, spec
+from support.shard_bench import KIND, group, machine_status, shard_status, spec
 
 ZONE = ShardName("a")
 IN_ZONE = zone_of(ZONE)
@@ -200,16 +200,9 @@
         now = waited + number
         busy = [(now + 1000.0, 4.0, 0.0, 1.0, 1, "")]
         machines = {
-            f"vm-{n}": {
-                "free": (4.0, 0.0, 64.0) if n < idle else (0.0, 0.0, 63.0),
-                "ends": [] if n < idle else busy,
-                "queued": 0,
-                "usable": True,
-                "heard": True,
-                "leaving": False,
-                "faulty": False,
-                "images": [],
-            }
+            f"vm-{n}": machine_status((4.0, 0.0, 64.0))
+            if n < idle
+            else machine_status((0.0, 0.0, 63.0), busy)
             for n in range(6)
         }
         status = shard_status(machines, number, now)
