--- a/tests/standins/world.py
+++ b/tests/standins/world.py
@@ -224,11 +224,20 @@
         return PartitionService(self.partition_plan, solve_here)
 
     def crash(self, name: str) -> None:
-        self.controllers.pop(name, None)
+        self._note_invariants(name, self.controllers.pop(name, None))
         scope = self.scopes.pop(name, None)
         if scope is not None:
             scope.cancel()
 
+    def _note_invariants(self, name: str, controller: Any) -> None:
+        """What a controller found violated while it ran breaks the scenario."""
+        invariants = getattr(controller, "invariants", None)  # earlier versions have none
+        if invariants is not None:
+            self.violations += [
+                f"{name} violated {invariant} {count} times"
+                for invariant, count in invariants.violations.items()
+            ]
+
     # Machines
 
     def new_machine(self, name: str, type_: str, zone: str, spot: bool) -> None:
@@ -440,4 +449,6 @@
                 await anyio.sleep(0.25)
                 self.tick()
                 self.cloud.snapshot()
+            for name, controller in self.controllers.items():
+                self._note_invariants(name, controller)
             group.cancel_scope.cancel()
