--- a/src/dapplewick/controller/status.py
+++ b/src/dapplewick/controller/status.py
@@ -77,8 +77,8 @@
 
     def _describe_violations(self) -> dict[str, Any]:
         """The violated invariants; nothing if all have held."""
-        violations = self.invariants.violations
-        return {"violations": dict(violations)} if violations else {}
+        violations = {str(name): n for name, n in self.invariants.violations.items()}
+        return {"violations": violations} if violations else {}
 
     def _describe_waiting(self) -> dict[str, Any]:
         """The groups of jobs that wait for long, and why, if this controller leads."""
