--- a/tests/simulation/test_late_jobs.py
+++ b/tests/simulation/test_late_jobs.py
@@ -1,8 +1,8 @@
 """A job that can meet none of its objectives any more begins all the same, within four minutes.
 
-Seen: on small quiet days with more accelerator work than accelerators, half of a class's largest jobs
-did not begin within four minutes. Some of that class waited 11 to 15 minutes without a task, while
-jobs submitted minutes after them began within seconds.
+Seen: on small quiet days with more accelerator work than accelerators, half of a class's largest
+jobs did not begin within four minutes. Some of that class waited 11 to 15 minutes without a task,
+while jobs submitted minutes after them began within seconds.
 
 How it came about: arrays are served by when they should be complete. A job that has missed its
 last objective is due at infinity, behind all that can still be in time. While more work comes than
@@ -10,9 +10,9 @@
 
 Cause: starvation in the order of arrays (`ArrayOrder`). Nothing bounded the wait of late work.
 
-Proof: in the leader's log such a job waits in each report of `work_waiting` with a reason that names
-capacity or the limit, for 690 s, and jobs of its class and team are done meanwhile. Without the first
-tasks of overdue jobs (`ArrayOrder.overdue`) the tests below fail, and with them they pass.
+Proof: in the leader's log such a job waits in each report of `work_waiting` for 690 s, and jobs of
+its class and team that came later are done meanwhile. Without the first tasks of overdue jobs
+(`ArrayOrder.overdue`) the tests below fail, and with them they pass.
 """
 
 from __future__ import annotations
