Tests: the import linter runs in a process of its own

Symptom: after test_layers all loggers of a test worker were disabled, so that test_wait_reasons failed there and tests that expect no line could not fail. Cause: the linter's dictConfig disables the loggers that exist, for good. Its verdict is held as strictly as before: the exit code, and now also how many contracts were kept, so that a linter that checks nothing would be noticed.

--- a/tests/unit/test_layers.py
+++ b/tests/unit/test_layers.py
@@ -1,26 +1,41 @@
-"""The layers of the package, as the import linter sees them."""
+"""The layers of the package, as the import linter sees them.
+
+The linter runs in a process of its own: it configures logging, which disables all loggers of its
+process for good.
+"""
 
 from __future__ import annotations
 
-import contextlib
-import io
+import os
+import subprocess
+import sys
 from pathlib import Path
 
-import pytest
-from importlinter.cli import lint_imports
+from support.paths import ROOT
+
+LINTER = "from importlinter.cli import lint_imports_command; lint_imports_command()"
 
-ROOT = Path(__file__).resolve().parents[2]
+
+def lint(config: Path, sources: Path) -> subprocess.CompletedProcess[str]:
+    """Check the contracts of a configuration on the packages in a folder."""
+    return subprocess.run(
+        [sys.executable, "-c", LINTER, "--config", str(config), "--no-cache"],
+        env=os.environ | {"PYTHONPATH": str(sources)},
+        capture_output=True,
+        text=True,
+        check=False,
+        timeout=120,
+    )
 
 
 def test_layers_import_downwards_only_and_without_cycles() -> None:
     """`pyproject.toml` holds the contracts."""
-    output = io.StringIO()
-    with contextlib.redirect_stdout(output):
-        failed = lint_imports(str(ROOT / "pyproject.toml"), no_cache=True)
-    assert not failed, output.getvalue()
+    linted = lint(ROOT / "pyproject.toml", ROOT / "src")
+    assert linted.returncode == 0, linted.stdout + linted.stderr
+    assert "Contracts: 2 kept, 0 broken." in linted.stdout
 
 
-def test_an_import_upwards_is_noticed(tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+def test_an_import_upwards_is_noticed(tmp_path: Path) -> None:
     """The same contract on a package whose lower layer imports the upper one."""
     package = tmp_path / "upside_down"
     package.mkdir()
@@ -37,7 +52,6 @@
         'containers = ["upside_down"]\n'
         'layers = ["upper", "lower"]\n'
     )
-    monkeypatch.syspath_prepend(str(tmp_path))
-    with contextlib.redirect_stdout(io.StringIO()):
-        failed = lint_imports(str(config), no_cache=True)
-    assert failed
+    linted = lint(config, tmp_path)
+    assert linted.returncode == 1
+    assert "Contracts: 0 kept, 1 broken." in linted.stdout
