A leader that hears neither peers nor workers steps down

Symptom: while a leader is cut off from its peers and from the workers, though not from the state service, nothing begins. From its log: after 30 s it takes over all other shards as unheard, 15 s later it deletes every machine there as silent, and then it provisions machines that never come up, until the cut ends. Cause: its key rests on the state service alone. And an owner that has heard no machine since it took a shard over was not seen as unreachable: machines were counted by its statuses, which describe none. Change: such a leader removes its own key under its epoch (a process at most once a minute), and a controller that hears no peer campaigns 3 s after the others. Machines that are up are counted by the records.

--- a/src/dapplewick/controller/controller.py
+++ b/src/dapplewick/controller/controller.py
@@ -33,6 +33,7 @@
 from dapplewick.coordination.cancellation_exchange import CancellationWatch
 from dapplewick.coordination.election import Election
 from dapplewick.coordination.identity import Identity
+from dapplewick.coordination.leader_isolation import LeaderIsolation
 from dapplewick.coordination.leadership import Leadership
 from dapplewick.coordination.peer_exchange import PeerExchange
 from dapplewick.coordination.presence import Presence
@@ -275,6 +276,7 @@
             leadership=self.leadership,
             assigner=self.assigner,
             silence=self.peers.silence,
+            isolation=LeaderIsolation(self.cache, self.identity.name),
             owned_shards=self._owned_shards,
             confirmations=self.confirmations,
             partitions=self.partitions,
--- a/src/dapplewick/controller/leader_loop.py
+++ b/src/dapplewick/controller/leader_loop.py
@@ -16,6 +16,7 @@
 from dapplewick.controller.record_follower import RecordFollower
 from dapplewick.coordination.election import Election
 from dapplewick.coordination.identity import Identity
+from dapplewick.coordination.leader_isolation import LeaderIsolation
 from dapplewick.coordination.leadership import Leadership
 from dapplewick.coordination.peer_silence import PeerSilence
 from dapplewick.coordination.shard_assignment import OwnersView, ShardAssigner
@@ -30,12 +31,13 @@
 )
 from dapplewick.storage.keys import SHARDS
 from dapplewick.storage.write_priority import WritePriority
-from dapplewick.types import FencingToken, Seconds
+from dapplewick.types import ControllerName, FencingToken, Seconds
 
 log = logging.getLogger(__name__)
 
 NOT_READY_S = 0.1
 CAMPAIGN_INTERVAL_S = 0.3  # a controller that does not lead looks this often whether it should
+ISOLATED_CAMPAIGN_S = 3.0  # one that hears no peer lets the others campaign first for this long
 MAX_PASS_INTERVAL_S = 0.5  # a pass begins this long after the last one, also when nothing changed
 MIN_REST_S = 0.25
 MAX_REST_S = 0.8
@@ -53,6 +55,7 @@
     leadership: Leadership
     assigner: ShardAssigner
     silence: PeerSilence
+    isolation: LeaderIsolation
     owned_shards: OwnedShards
     confirmations: StatusConfirmations
     partitions: PartitionSwitch
@@ -91,10 +94,22 @@
         if not self.election.is_leader():
             if self.leadership.planner is not None:
                 self.election.resign()
-            await self.election.campaign(owns_shards=bool(self.owned_shards.schedulers))
+            await self._campaign()
         if self.election.is_leader():
             await self._lead()
 
+    async def _campaign(self) -> None:
+        """Try to become leader, after those that hear their peers."""
+        if self.records.cache.leader is None and self._hears_no_peer():
+            await anyio.sleep(ISOLATED_CAMPAIGN_S)
+        await self.election.campaign(owns_shards=bool(self.owned_shards.schedulers))
+
+    def _hears_no_peer(self) -> bool:
+        return self.isolation.hears_no_peer(self._silent_controllers(self.now()))
+
+    def _silent_controllers(self, now: Seconds) -> frozenset[ControllerName]:
+        return self.silence.silent(now, self.records.cache.controllers)
+
     async def _rest(self) -> None:
         """Wait for something to plan; leave the processor to others unless work waits for it."""
         with anyio.move_on_after(MAX_PASS_INTERVAL_S):
@@ -116,12 +131,25 @@
             self.election.begin_term(planner, epoch)
         planner.epoch = epoch
         self._attach_partitions(planner)
+        if self._is_isolated(planner, now):
+            await self.election.step_down(epoch)
+            self.isolation.note_step_down(now)
+            return
         await self._assign_shards(planner, epoch, now)
         self._take_own_statuses(planner, now)
         changes = planner.plan(now, self.wall_time())
         self._pass_took_s = self.now() - now
         await self.writer.write(epoch, now, changes)
 
+    def _is_isolated(self, planner: LeaderPlanner, now: Seconds) -> bool:
+        """Whether neither a peer nor a worker reaches this leader, and another should lead."""
+        populated = {
+            name for name, scheduler in self.owned_shards.schedulers.items() if scheduler.machines
+        }
+        return self.isolation.should_step_down(
+            now, self._silent_controllers(now), populated, planner.unreachable_shards()
+        )
+
     def _attach_partitions(self, planner: LeaderPlanner) -> None:
         service = self.partitions.in_charge()
         if service is not None:
@@ -133,11 +161,10 @@
         self, planner: LeaderPlanner, epoch: FencingToken, now: Seconds
     ) -> None:
         """Write the new owners of shards, each by itself."""
-        present = self.records.cache.controllers
         view = OwnersView(
             unreachable=planner.unreachable_shards(),
             unheard=planner.unheard_shards(now),
-            silent_controllers=self.silence.silent(now, present),
+            silent_controllers=self._silent_controllers(now),
         )
         for assignment in self.assigner.changes(now, view):
             key = SHARDS + assignment.shard
--- a/src/dapplewick/coordination/election.py
+++ b/src/dapplewick/coordination/election.py
@@ -28,6 +28,7 @@
 )
 from dapplewick.storage.keys import LEADER
 from dapplewick.storage.state_client import StateClient
+from dapplewick.storage.write_priority import WritePriority
 from dapplewick.types import FencingToken
 
 log = logging.getLogger(__name__)
@@ -112,6 +113,21 @@
         self._leadership.planner = None
         self._state.writes.rate_per_s = self._write_rates.following
 
+    async def step_down(self, epoch: FencingToken) -> None:
+        """Give up the leader's key, which ends the epoch, so that another may lead.
+
+        Raises:
+            TransactionConflictError: the epoch has ended already.
+            OutcomeUnknownError: the key may be gone, or may go late.
+            RequestRefusedError: the state service did not take the write.
+        """
+        await self.write(epoch, [ConditionalWrite(LEADER, None, int(epoch), WritePriority.URGENT)])
+        log.info(
+            "event=leader_stepped_down controller=%s epoch=%d reason=isolated",
+            self._identity.name,
+            epoch,
+        )
+
     async def settle_epoch(self) -> FencingToken:
         """Settle the epoch under which to plan now.
 
--- a/src/dapplewick/core/leader/observed_shard.py
+++ b/src/dapplewick/core/leader/observed_shard.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections import Counter
 from typing import TypeVar
 
 from dapplewick.core.estimates import Estimates
@@ -126,18 +127,18 @@
         """Shards whose owner has not heard any machine for a while, though several are up.
 
         Deleting them all as silent would cost a shard its work for one controller's broken
-        network.
+        network. The records say which are up: an owner that has heard none of them since it took
+        over the shard describes none in its statuses.
         """
-        unreachable = set()
-        for shard in self.owned():
-            up = sum(
-                record.up and not record.terminating
-                for machine_id in shard.machines
-                if (record := self._cache.machines.get(machine_id)) is not None
-            )
-            if up >= UNREACHABLE_MIN_MACHINES and shard.latest.heard_ago_s > UNREACHABLE_S:
-                unreachable.add(shard.shard)
-        return unreachable
+        quiet = {shard.shard for shard in self.owned() if shard.latest.heard_ago_s > UNREACHABLE_S}
+        if not quiet:
+            return quiet
+        up = Counter(
+            record.shard
+            for record in self._cache.machines.values()
+            if record.up and not record.terminating
+        )
+        return {name for name in quiet if up[name] >= UNREACHABLE_MIN_MACHINES}
 
     def has_moved(self, machine_id: MachineId, shard: ObservedShard) -> bool:
         """Whether a machine has gone to another shard since this one's status."""
--- a/tests/simulation/test_removed_guards.py
+++ b/tests/simulation/test_removed_guards.py
@@ -9,10 +9,17 @@
 
 import simulation.test_cancellations as cancellations
 import simulation.test_failure_pairs as failure_pairs
+import simulation.test_isolated_leader as isolated_leader
+import simulation.test_late_jobs as late_jobs
 import simulation.test_leadership as leadership
 import simulation.test_requests as requests
+import simulation.test_team_limits as team_limits
+import simulation.test_unheard_shards as unheard_shards
 from dapplewick.coordination.cancellation_exchange import CancellationWatch
 from dapplewick.coordination.election import Election
+from dapplewick.coordination.leader_isolation import LeaderIsolation
+from dapplewick.core.leader.array_order import ArrayOrder
+from dapplewick.core.leader.quotas import TeamQuotas
 from dapplewick.core.shard.heartbeats import HeartbeatReconciler
 from dapplewick.core.shard.scheduler import ShardScheduler
 from dapplewick.storage.keys import LEADER
@@ -21,6 +28,7 @@
     no_stop_of_cancelled_tasks,
     no_team_limit,
     no_wait_for_unheard_machines,
+    unheard_shards_stay,
 )
 from support.scenarios import Script, play_scenario
 
@@ -59,6 +67,18 @@
     patch.setattr("dapplewick.core.leader.capacity_requests.STARVED_S", 1e9)
 
 
+def late_work_has_no_first_task(patch: pytest.MonkeyPatch) -> None:
+    patch.setattr(ArrayOrder, "overdue", lambda *_: [])
+
+
+def isolated_leaders_lead_on(patch: pytest.MonkeyPatch) -> None:
+    patch.setattr(LeaderIsolation, "should_step_down", lambda *_: False)
+
+
+def limits_are_not_withheld(patch: pytest.MonkeyPatch) -> None:
+    patch.setattr(TeamQuotas, "withhold", lambda *_: None)
+
+
 GUARDS: list[tuple[Patch, Callable[[], None]]] = [
     (
         a_lie_about_what_is_known,
@@ -83,6 +103,30 @@
         starved_jobs_wait_on,
         requests.test_a_job_behind_others_that_run_on_and_on_gets_a_machine_of_its_own,
     ),
+    (
+        late_work_has_no_first_task,
+        lambda: late_jobs.test_late_jobs_begin_beside_a_stream_of_work_that_can_be_in_time(
+            late_jobs.CPUS, 1
+        ),
+    ),
+    (
+        isolated_leaders_lead_on,
+        lambda: isolated_leader.test_work_begins_while_the_leader_hears_nobody(3, 1),
+    ),
+    (
+        unheard_shards_stay,
+        lambda: unheard_shards.test_jobs_begin_while_controllers_cannot_hear_one_another(
+            unheard_shards.all_refuse_one_another, unheard_shards.BEGIN_WITHIN_S, 1
+        ),
+    ),
+    (
+        limits_are_not_withheld,
+        lambda: (
+            team_limits.test_a_gang_of_the_size_of_its_teams_limit_begins_beside_a_stream_of_small_work(
+                "sweep", 1
+            )
+        ),
+    ),
 ]
 
 
