--- a/src/dapplewick/controller/cloud_calls.py
+++ b/src/dapplewick/controller/cloud_calls.py
@@ -24,7 +24,7 @@
 from dapplewick.storage.rate_limiter import RateLimiter
 from dapplewick.storage.watch_cache import WatchCache
 from dapplewick.transport.http_client import HttpError
-from dapplewick.types import MachineId, Seconds
+from dapplewick.types import NEVER_S, MachineId, Seconds
 
 log = logging.getLogger(__name__)
 
@@ -34,7 +34,6 @@
 LIST_INTERVAL_S = 10.0
 CALL_TIMEOUT_S = 6.0
 FAILURE_PAUSE_S = 1.0
-NEVER_S = -1e9  # before any time of the steady clock
 MAX_DELETIONS = 100  # machines in one call
 PAGE_SIZE = 500  # machines in one page of the list
 MAX_LISTED = 20_000  # machines; with more of them the rest is left for the next list
--- a/src/dapplewick/controller/record_follower.py
+++ b/src/dapplewick/controller/record_follower.py
@@ -22,13 +22,12 @@
 from dapplewick.storage.read_checks import ReadChecks
 from dapplewick.storage.state_client import StateClient
 from dapplewick.storage.watch_cache import WatchCache
-from dapplewick.types import Seconds
+from dapplewick.types import NEVER_S, Seconds
 
 log = logging.getLogger(__name__)
 
 WATCH_MS = 4000
 STANDBY_WATCH_GAP_S = 0.4  # a controller that neither leads nor owns a shard follows in these steps
-NEVER_S = -1e9  # before any time of the steady clock
 
 
 class RecordFollower:
--- a/src/dapplewick/controller/shard_loop.py
+++ b/src/dapplewick/controller/shard_loop.py
@@ -7,7 +7,7 @@
 
 import anyio
 
-from dapplewick.controller.record_follower import NEVER_S, RecordFollower
+from dapplewick.controller.record_follower import RecordFollower
 from dapplewick.coordination.identity import Identity
 from dapplewick.coordination.leadership import Leadership
 from dapplewick.coordination.status_confirmations import StatusConfirmations
@@ -15,7 +15,7 @@
 from dapplewick.protocol import peers
 from dapplewick.storage.formats import FORMAT_NOW
 from dapplewick.transport.peer import PeerLink
-from dapplewick.types import ControllerName, Seconds, ShardName
+from dapplewick.types import NEVER_S, ControllerName, Seconds, ShardName
 
 log = logging.getLogger(__name__)
 
--- a/src/dapplewick/coordination/cancellation_exchange.py
+++ b/src/dapplewick/coordination/cancellation_exchange.py
@@ -20,15 +20,12 @@
 from dapplewick.protocol.job_spec import JOB_ID
 from dapplewick.protocol.workers import MAX_COUNT
 from dapplewick.storage.watch_cache import WatchCache
-from dapplewick.types import ControllerName, JobId, Revision, Seconds
+from dapplewick.types import NEVER_S, ControllerName, JobId, Revision, Seconds
 
 HEARD_WITHIN_S = 10.0  # a peer not heard for longer is not waited for with what it has not read
 MAX_LISTED = 2000  # cancellations in one message; with more of them it assures nothing
 
 
-NEVER_S = -1e9  # before any time of the steady clock
-
-
 class Question(NamedTuple):
     """A peer's question, by which its answers are told from those to earlier ones."""
 
--- a/src/dapplewick/coordination/leader_isolation.py
+++ b/src/dapplewick/coordination/leader_isolation.py
@@ -9,12 +9,11 @@
 from collections.abc import Set
 
 from dapplewick.storage.watch_cache import WatchCache
-from dapplewick.types import ControllerName, Seconds, ShardName
+from dapplewick.types import NEVER_S, ControllerName, Seconds, ShardName
 
 # Between two times that one process steps down: where several controllers hear nobody, each leads
 # in turn, and few epochs are to be spent on that.
 STEP_DOWN_PAUSE_S = 60.0
-NEVER_S = -1e9  # before any time of the steady clock
 
 
 class LeaderIsolation:
--- a/src/dapplewick/coordination/presence.py
+++ b/src/dapplewick/coordination/presence.py
@@ -20,13 +20,12 @@
 )
 from dapplewick.storage.keys import CONTROLLERS
 from dapplewick.storage.state_client import StateClient
-from dapplewick.types import Seconds
+from dapplewick.types import NEVER_S, Seconds
 
 log = logging.getLogger(__name__)
 
 TTL_S = 5.0
 RENEW_INTERVAL_S = 1.3
-NEVER_S = -1e9  # before any time of the steady clock
 
 
 class Presence:
--- a/src/dapplewick/coordination/shard_assignment.py
+++ b/src/dapplewick/coordination/shard_assignment.py
@@ -8,13 +8,12 @@
 
 from dapplewick.storage.controller_records import ShardRecord
 from dapplewick.storage.watch_cache import WatchCache
-from dapplewick.types import ControllerName, Seconds, ShardName, partition_of, zone_of
+from dapplewick.types import NEVER_S, ControllerName, Seconds, ShardName, partition_of, zone_of
 
 REASSIGNMENT_PAUSE_S = 20.0  # a shard changes hands for silent workers at most this often
 STEADY_S = 20.0  # a controller that came back gets a shard again after this time
 EMPTY_STEADY_S = 1.0  # and sooner one without machines, which loses nothing by a new owner
 LEADING_LOAD = 1  # leading is as much work as a shard
-NEVER_S = -1e9  # before any time of the steady clock
 
 
 class AssignmentReason(StrEnum):
--- a/src/dapplewick/core/leader/capacity_view.py
+++ b/src/dapplewick/core/leader/capacity_view.py
@@ -9,7 +9,7 @@
 from dapplewick.core.leader.machine_capacity import MachineCapacity, capacity_of_status
 from dapplewick.core.leader.observed_shard import ObservedShard, ObservedShards
 from dapplewick.core.leader.shard_capacity import ShardCapacity
-from dapplewick.core.leader.shard_contacts import ShardContacts
+from dapplewick.core.leader.shard_contacts import is_fresh
 from dapplewick.protocol.peers import MachineStatus
 from dapplewick.storage.job_records import JobRecord
 from dapplewick.storage.machine_records import MachineRecord
@@ -26,13 +26,11 @@
         drafts: JobDrafts,
         shards: ObservedShards,
         demand: AcceleratorDemand,
-        contacts: ShardContacts,
     ) -> None:
         self._cache = cache
         self._drafts = drafts
         self._shards = shards
         self._demand = demand
-        self._contacts = contacts
 
     def of_pass(
         self, now: Seconds, served_teams: Callable[[ShardName], frozenset[str] | None]
@@ -45,7 +43,7 @@
         """
         by_name: dict[str, ShardCapacity] = {}
         for shard in self._shards.owned():
-            if self._contacts.is_fresh(now, shard):
+            if is_fresh(now, shard):
                 capacity = ShardCapacity(shard.shard, self._machines(now, shard))
                 teams = served_teams(shard.shard)
                 if teams is not None:
--- a/src/dapplewick/core/leader/cluster_scaling.py
+++ b/src/dapplewick/core/leader/cluster_scaling.py
@@ -19,7 +19,7 @@
 from dapplewick.storage.machine_records import ProvisioningRequest
 from dapplewick.storage.watch_cache import WatchCache
 from dapplewick.storage.write_priority import WritePriority
-from dapplewick.types import MachineId, Seconds
+from dapplewick.types import NEVER_S, MachineId, Seconds
 
 log = logging.getLogger(__name__)
 
@@ -55,7 +55,7 @@
         self._machine_lifecycle = machine_lifecycle
         self._ids = ids
         self._started_at = now
-        self._scaled_at = -1e9
+        self._scaled_at = NEVER_S
         self.provisioned: dict[str, list[MachineId] | None] = {}
         self.unmet: list[CapacityRequest] = []
 
--- a/src/dapplewick/core/leader/machine_capacity.py
+++ b/src/dapplewick/core/leader/machine_capacity.py
@@ -6,6 +6,7 @@
 from typing import NamedTuple
 
 from dapplewick.core.demand import AcceleratorDemand, GangDemand
+from dapplewick.core.priorities import GANG_PRIORITY
 from dapplewick.protocol.job_spec import JobSpec, PlacementKey
 from dapplewick.protocol.peers import MachineStatus
 from dapplewick.types import (
@@ -18,7 +19,6 @@
     zone_of,
 )
 
-GANG_PRIORITY = 99  # a gang's task counts as this among ends: no other gang preempts it
 CPU_ROUNDING = 1e-6  # amounts are sums of floats, so fits are tested with this allowance
 
 
--- a/src/dapplewick/core/leader/machine_lifecycle.py
+++ b/src/dapplewick/core/leader/machine_lifecycle.py
@@ -19,7 +19,7 @@
 )
 from dapplewick.storage.watch_cache import WatchCache
 from dapplewick.storage.write_priority import WritePriority
-from dapplewick.types import MachineId, Seconds
+from dapplewick.types import NEVER_S, MachineId, Seconds
 
 log = logging.getLogger(__name__)
 
@@ -189,7 +189,7 @@
     def _mark_up(self, now: Seconds, came_up: dict[str, list[MachineId]]) -> None:
         """Draft that machines came up: those of a group together, as hundreds do at the start."""
         for group_name, machines in came_up.items():
-            if now - self._group_written_at.get(group_name, -1e9) >= UP_S:
+            if now - self._group_written_at.get(group_name, NEVER_S) >= UP_S:
                 for machine_id in machines:
                     self._groups.set_state(machine_id, UP, WritePriority.NORMAL)
 
--- a/src/dapplewick/core/leader/observed_shard.py
+++ b/src/dapplewick/core/leader/observed_shard.py
@@ -10,7 +10,7 @@
 from dapplewick.protocol.peers import GangStatus, JobStatus, MachineStatus, ShardStatus
 from dapplewick.storage.keys import SHARDS
 from dapplewick.storage.watch_cache import WatchCache
-from dapplewick.types import JobId, MachineId, Revision, Seconds, ShardName, zone_of
+from dapplewick.types import NEVER_S, JobId, MachineId, Revision, Seconds, ShardName, zone_of
 
 UNREACHABLE_S = 6.0  # an owner that heard nothing for this long may be cut off from its workers
 UNREACHABLE_MIN_MACHINES = 2  # of this many machines at least: one alone may be silent itself
@@ -35,7 +35,7 @@
         self.zone = zone_of(shard)
         self.token = token
         self.number = 0
-        self.at = -1e9
+        self.at = NEVER_S
         self.clock = 0.0
         self.seen = Revision(0)
         self.machines: dict[MachineId, MachineStatus] = {}
@@ -116,12 +116,16 @@
 
     def owned(self) -> list[ObservedShard]:
         """The shards whose present owner has told of them."""
-        version = self._cache.version
-        return [
-            shard
-            for name, shard in self.by_name.items()
-            if shard.number > 0 and shard.token == version(SHARDS + name)
-        ]
+        return [shard for shard in self.by_name.values() if self._is_owners(shard)]
+
+    def owned_by_name(self, name: ShardName) -> ObservedShard | None:
+        """A shard, if its present owner has told of it."""
+        shard = self.by_name.get(name)
+        return shard if shard is not None and self._is_owners(shard) else None
+
+    def _is_owners(self, shard: ObservedShard) -> bool:
+        """Whether what is known of a shard is its present owner's word."""
+        return shard.number > 0 and shard.token == self._cache.version(SHARDS + shard.shard)
 
     def unreachable(self) -> set[ShardName]:
         """Shards whose owner has not heard any machine for a while, though several are up.
--- a/src/dapplewick/core/leader/planner.py
+++ b/src/dapplewick/core/leader/planner.py
@@ -129,7 +129,7 @@
         self._quotas = TeamQuotas(deployment.teams, drafts)
         self.contacts = ShardContacts(cache, zones, observed, invariants)
         self._limit_audit = LimitAudit(cache, observed, self.contacts, invariants)
-        self._capacity_view = CapacityView(cache, drafts, observed, self._demand, self.contacts)
+        self._capacity_view = CapacityView(cache, drafts, observed, self._demand)
         self._waiting_gangs = WaitingGangs(
             drafts, self._quotas, self._demand, provisioner, estimates, tuning, zones, self._ids
         )
--- a/src/dapplewick/core/leader/reconciliation.py
+++ b/src/dapplewick/core/leader/reconciliation.py
@@ -7,8 +7,8 @@
 import msgspec
 
 from dapplewick.core.leader.job_drafts import JobDrafts
-from dapplewick.core.leader.machine_capacity import GANG_PRIORITY
 from dapplewick.core.leader.observed_shard import ObservedShard, ObservedShards
+from dapplewick.core.priorities import GANG_PRIORITY
 from dapplewick.protocol.peers import GANG_BAD, GANG_CLEAR, GANG_DONE, GANG_HELD
 from dapplewick.storage.job_records import DONE, GangPlacement, JobRecord
 from dapplewick.storage.watch_cache import WatchCache
--- a/src/dapplewick/core/leader/shard_capacity.py
+++ b/src/dapplewick/core/leader/shard_capacity.py
@@ -10,10 +10,10 @@
 from dapplewick.core.demand import LEAST_GANG_SLOTS, AcceleratorDemand, GangDemand
 from dapplewick.core.leader.machine_capacity import (
     CPU_ROUNDING,
-    GANG_PRIORITY,
     MachineCapacity,
     spare_key,
 )
+from dapplewick.core.priorities import GANG_PRIORITY
 from dapplewick.protocol.job_spec import JobSpec, PlacementKey
 from dapplewick.types import Resources, Seconds, ShardName, zone_of
 
--- a/src/dapplewick/core/leader/shard_contacts.py
+++ b/src/dapplewick/core/leader/shard_contacts.py
@@ -25,6 +25,11 @@
 MOVE_PASSES = 20  # planning passes, beside one for each shard, in which that has to have happened
 
 
+def is_fresh(now: Seconds, shard: ObservedShard) -> bool:
+    """Whether a shard's newest status is new enough to give it work."""
+    return now - shard.at <= FRESH_STATUS_S
+
+
 class _OwnerSeen(NamedTuple):
     """An owner's fencing token, and when this term of leadership saw it first."""
 
@@ -58,14 +63,10 @@
                 self._owners_seen[name] = _OwnerSeen(token, now)
                 self._unheard_passes.pop(name, None)
 
-    def is_fresh(self, now: Seconds, shard: ObservedShard) -> bool:
-        """Whether the shard's newest status is new enough to give it work."""
-        return now - shard.at <= FRESH_STATUS_S
-
     def all_fresh(self, now: Seconds) -> bool:
         """Whether there are shards, and each that has an owner was heard just now."""
         names = self._owned_by_record()
-        fresh = {shard.shard for shard in self._shards.owned() if self.is_fresh(now, shard)}
+        fresh = {shard.shard for shard in self._shards.owned() if is_fresh(now, shard)}
         return bool(names) and fresh.issuperset(names)
 
     def age_s(self, now: Seconds, name: ShardName) -> Seconds:
--- a/src/dapplewick/core/shard/scheduler.py
+++ b/src/dapplewick/core/shard/scheduler.py
@@ -39,7 +39,7 @@
 from dapplewick.protocol.workers import Command, Heartbeat
 from dapplewick.storage.watch_cache import WatchCache
 from dapplewick.tuning import Tuning
-from dapplewick.types import FencingToken, JobId, MachineId, Seconds, ShardName, zone_of
+from dapplewick.types import NEVER_S, FencingToken, JobId, MachineId, Seconds, ShardName, zone_of
 
 log = logging.getLogger(__name__)
 
@@ -83,7 +83,7 @@
         self.cache = cache
         self.estimates = estimates
         self._ticked_at = now
-        self._slow_ticked_at = -1e9
+        self._slow_ticked_at = NEVER_S
         # Long, as it does but one thing: it gives each piece the others that it needs, in the
         # order in which they depend on one another. First, what the pieces share.
         self._changes = changes = ChangeLog()
--- a/src/dapplewick/core/shard/state.py
+++ b/src/dapplewick/core/shard/state.py
@@ -9,6 +9,7 @@
 from dapplewick.protocol.job_spec import JobSpec
 from dapplewick.protocol.workers import TaskStage
 from dapplewick.types import (
+    NEVER_S,
     NO_RESOURCES,
     Attempt,
     JobId,
@@ -168,7 +169,7 @@
         self.last_confirmed_at = now  # the last heartbeat with this shard's fencing token
         self.lost_starts = 0  # heartbeats in a row without the starts that were sent before
         self.lost_starts_at = now  # when there was the last of them
-        self.incarnation_ended_at = -1e9  # when one ended last, as far as it is known here
+        self.incarnation_ended_at = NEVER_S  # when one ended last, as far as it is known here
         self.unreachable = False  # its lease ended although its heartbeats were answered
         self.spot_notice_s: Seconds | None = None
         self.task_attempts: dict[TaskRef, TaskAttempt] = {}
--- a/src/dapplewick/core/shard/status.py
+++ b/src/dapplewick/core/shard/status.py
@@ -8,7 +8,7 @@
 from msgspec import UNSET
 
 from dapplewick.core.estimates import Estimates
-from dapplewick.core.leader.machine_capacity import GANG_PRIORITY
+from dapplewick.core.priorities import GANG_PRIORITY
 from dapplewick.core.shard.array_tasks import ArrayTasks
 from dapplewick.core.shard.backfill import Backfill
 from dapplewick.core.shard.changes import ChangeLog
--- a/src/dapplewick/partitions/plan_in_force.py
+++ b/src/dapplewick/partitions/plan_in_force.py
@@ -8,7 +8,7 @@
 from dapplewick.partitions.plan import PartitionPlan, PlanError, convert, unknown_names
 from dapplewick.storage.keys import PARTITION_PLAN
 from dapplewick.storage.watch_cache import WatchCache
-from dapplewick.types import Seconds
+from dapplewick.types import NEVER_S, Seconds
 
 log = logging.getLogger(__name__)
 
@@ -23,7 +23,7 @@
 
     def complain(self, now: Seconds, event: str, reason: str) -> None:
         """Log a complaint, unless one of the same event was logged a moment ago."""
-        if now - self._logged_at.get(event, -1e9) >= LOG_PAUSE_S:
+        if now - self._logged_at.get(event, NEVER_S) >= LOG_PAUSE_S:
             self._logged_at[event] = now
             log.error("event=%s reason=%r", event, reason)
 
--- a/src/dapplewick/partitions/timing.py
+++ b/src/dapplewick/partitions/timing.py
@@ -8,7 +8,7 @@
 from hdrh.histogram import HdrHistogram
 
 from dapplewick.partitions.messages import DurationSummary
-from dapplewick.types import MachineId, Seconds, TransferId
+from dapplewick.types import NEVER_S, MachineId, Seconds, TransferId
 
 LONGEST_MS = 24 * 3600 * 1000
 DIGITS = 2
@@ -53,7 +53,7 @@
 
     def drained_for_s(self, machine: MachineId, now: Seconds) -> Seconds:
         """For how many seconds a machine has been drained; very long if that is not known."""
-        return now - self._drained_at.get(machine, -1e9)
+        return now - self._drained_at.get(machine, NEVER_S)
 
     def note_handed_over(self, machines: Iterable[MachineId], now: Seconds) -> None:
         """Record the times of machines that were handed over."""
--- a/src/dapplewick/transport/listen.py
+++ b/src/dapplewick/transport/listen.py
@@ -10,6 +10,7 @@
 from anyio.streams.stapled import MultiListener
 
 from dapplewick.transport.stream import accept
+from dapplewick.types import NEVER_S
 
 log = logging.getLogger(__name__)
 
@@ -34,7 +35,7 @@
         self._serve = serve
         self._open: dict[anyio.CancelScope, None] = {}
         self._idle: dict[anyio.CancelScope, None] = {}  # the one idle for longest first
-        self._logged_at = -1e9
+        self._logged_at = NEVER_S
 
     async def run(self, listener: MultiListener[anyio.abc.SocketStream]) -> None:
         """Accept and serve connections until cancelled."""
--- a/src/dapplewick/types.py
+++ b/src/dapplewick/types.py
@@ -17,6 +17,8 @@
 FencingToken = NewType("FencingToken", int)
 Seconds = float
 
+NEVER_S: Seconds = -1e9  # before any time of the steady clock
+
 # A controller's attempts and request names are its fencing token times this, plus a counter: a
 # token is never given out twice, so neither is an attempt or a name.
 IDS_PER_TOKEN = 1 << 20
