A team's limit is withheld for a gang for 80 s at a time

Symptom: a gang of the size of its team's limit waited on beside tasks of 75 s, until the team's small work ended. Cause: the limit was withheld for 60 s; tasks that began just before ran on beyond that, and what was free went to the next ones. Change: 80 s, which leaves 10 of the 90 s that other work may wait beside room.

--- a/src/dapplewick/core/leader/limit_reservations.py
+++ b/src/dapplewick/core/leader/limit_reservations.py
@@ -12,9 +12,11 @@
 from dapplewick.protocol.job_spec import JobSpec
 from dapplewick.types import Seconds
 
-# The team's other work waits beside idle slots meanwhile, which it may do for less than 90 s; most
-# of what runs has ended by then. After a pause, in which all of it may start, it begins anew.
-MOST_WITHHELD_S = 60.0
+# The team's other work waits beside idle slots meanwhile, which users accept for less than 90 s:
+# this leaves 10 s for what waited then to be assigned and launched. Tasks that run for longer may
+# keep a gang waiting: while they end one by one, either it waits or others do for more than that.
+# After a pause, in which all of the other work may start, it begins anew.
+MOST_WITHHELD_S = 80.0
 
 
 class LimitReservations:
