The view of owners is made once in a pass; one look-up of reserved attempts; one play of limits

Cause: in each pass the leader asked twice which shards are unreachable and which controllers are silent, once to step down and once to assign; the reasons for waits repeated a condition of the capacity requests; the second test of limits repeated the play of the first. Change: LeaderLoop makes one OwnersView and both use it; ObservedShard.reserved gives the status of an attempt with only reserved slots to both; the two tests share assert_the_gang_begins, with the assertions as they were. That the limit is withheld for more than a minute is a checked guard now.

--- a/src/dapplewick/controller/leader_loop.py
+++ b/src/dapplewick/controller/leader_loop.py
@@ -131,23 +131,31 @@
             self.election.begin_term(planner, epoch)
         planner.epoch = epoch
         self._attach_partitions(planner)
-        if self._is_isolated(planner, now):
+        view = self._view_owners(planner, now)
+        if self._is_isolated(view, now):
             await self.election.step_down(epoch)
             self.isolation.note_step_down(now)
             return
-        await self._assign_shards(planner, epoch, now)
+        await self._assign_shards(view, epoch, now)
         self._take_own_statuses(planner, now)
         changes = planner.plan(now, self.wall_time())
         self._pass_took_s = self.now() - now
         await self.writer.write(epoch, now, changes)
 
-    def _is_isolated(self, planner: LeaderPlanner, now: Seconds) -> bool:
+    def _view_owners(self, planner: LeaderPlanner, now: Seconds) -> OwnersView:
+        return OwnersView(
+            unreachable=planner.unreachable_shards(),
+            unheard=planner.unheard_shards(now),
+            silent_controllers=self._silent_controllers(now),
+        )
+
+    def _is_isolated(self, view: OwnersView, now: Seconds) -> bool:
         """Whether neither a peer nor a worker reaches this leader, and another should lead."""
         populated = {
             name for name, scheduler in self.owned_shards.schedulers.items() if scheduler.machines
         }
         return self.isolation.should_step_down(
-            now, self._silent_controllers(now), populated, planner.unreachable_shards()
+            now, view.silent_controllers, populated, view.unreachable
         )
 
     def _attach_partitions(self, planner: LeaderPlanner) -> None:
@@ -157,15 +165,8 @@
         planner.partitions = service.rebalancer if service is not None else None
         self.assigner.wanted = service.wanted_shards() if service is not None else []
 
-    async def _assign_shards(
-        self, planner: LeaderPlanner, epoch: FencingToken, now: Seconds
-    ) -> None:
+    async def _assign_shards(self, view: OwnersView, epoch: FencingToken, now: Seconds) -> None:
         """Write the new owners of shards, each by itself."""
-        view = OwnersView(
-            unreachable=planner.unreachable_shards(),
-            unheard=planner.unheard_shards(now),
-            silent_controllers=self._silent_controllers(now),
-        )
         for assignment in self.assigner.changes(now, view):
             key = SHARDS + assignment.shard
             log.info(
--- a/src/dapplewick/core/leader/capacity_requests.py
+++ b/src/dapplewick/core/leader/capacity_requests.py
@@ -13,7 +13,6 @@
 from dapplewick.core.leader.job_drafts import JobDrafts
 from dapplewick.core.leader.observed_shard import ObservedShards
 from dapplewick.protocol.job_spec import JobSpec, PlacementKey
-from dapplewick.protocol.peers import GANG_HELD
 from dapplewick.storage.job_records import GangPlacement, JobRecord
 from dapplewick.storage.watch_cache import WatchCache
 from dapplewick.tuning import Tuning
@@ -135,13 +134,8 @@
         """Whether a gang's slots will still be busy for long: more machines are wanted then."""
         for name in gang.shards():
             shard = self._shards.by_name.get(ShardName(name))
-            status = shard.gangs.get(job_id) if shard is not None else None
-            if (
-                status is not None
-                and status.attempt == gang.attempt
-                and status.state == GANG_HELD
-                and status.remaining_wait_s > LONG_RESERVATION_S
-            ):
+            status = shard.reserved(job_id, gang.attempt) if shard is not None else None
+            if status is not None and status.remaining_wait_s > LONG_RESERVATION_S:
                 return True
         return False
 
--- a/src/dapplewick/core/leader/observed_shard.py
+++ b/src/dapplewick/core/leader/observed_shard.py
@@ -7,7 +7,7 @@
 
 from dapplewick.core.estimates import Estimates
 from dapplewick.core.leader.machine_capacity import MachineCapacity
-from dapplewick.protocol.peers import GangStatus, JobStatus, MachineStatus, ShardStatus
+from dapplewick.protocol.peers import GANG_HELD, GangStatus, JobStatus, MachineStatus, ShardStatus
 from dapplewick.storage.keys import SHARDS
 from dapplewick.storage.watch_cache import WatchCache
 from dapplewick.types import NEVER_S, JobId, MachineId, Revision, Seconds, ShardName, zone_of
@@ -82,6 +82,13 @@
         self._latest = status
         return True
 
+    def reserved(self, job_id: JobId, attempt: int) -> GangStatus | None:
+        """The status of a gang's attempt, if it has slots here that are only reserved."""
+        status = self.gangs.get(job_id)
+        if status is None or status.attempt != attempt or status.state != GANG_HELD:
+            return None
+        return status
+
     def placed(self, job_id: JobId) -> int:
         """How many array tasks of a job are on machines here, or about to start."""
         status = self.jobs.get(job_id)
--- a/src/dapplewick/core/leader/wait_reasons.py
+++ b/src/dapplewick/core/leader/wait_reasons.py
@@ -20,7 +20,6 @@
 from dapplewick.core.leader.quotas import TeamQuotas
 from dapplewick.core.leader.shard_capacity import ShardCapacity
 from dapplewick.core.leader.shard_contacts import ShardContacts
-from dapplewick.protocol.peers import GANG_HELD
 from dapplewick.storage.job_records import JobRecord
 from dapplewick.storage.watch_cache import WatchCache
 from dapplewick.types import JobId, Seconds, ShardName
@@ -137,16 +136,11 @@
         if job.gang is None or job.gang.over:
             return True
         return any(
-            self._has_reserved_slots(ShardName(name), job_id, job.gang.attempt)
+            shard.reserved(job_id, job.gang.attempt) is not None
             for name in job.gang.shards()
+            if (shard := self._shards.owned_by_name(ShardName(name))) is not None
         )
 
-    def _has_reserved_slots(self, name: ShardName, job_id: JobId, attempt: int) -> bool:
-        """Whether an attempt has slots in a shard that are only reserved, by its owner's word."""
-        shard = self._shards.owned_by_name(name)
-        status = shard.gangs.get(job_id) if shard is not None else None
-        return status is not None and status.attempt == attempt and status.state == GANG_HELD
-
     def _reason(
         self,
         now: Seconds,
--- a/tests/simulation/test_removed_guards.py
+++ b/tests/simulation/test_removed_guards.py
@@ -79,6 +79,10 @@
     patch.setattr(TeamQuotas, "withhold", lambda *_: None)
 
 
+def limits_are_withheld_for_a_minute(patch: pytest.MonkeyPatch) -> None:
+    patch.setattr("dapplewick.core.leader.limit_reservations.MOST_WITHHELD_S", 60.0)
+
+
 GUARDS: list[tuple[Patch, Callable[[], None]]] = [
     (
         a_lie_about_what_is_known,
@@ -127,6 +131,14 @@
             )
         ),
     ),
+    (
+        limits_are_withheld_for_a_minute,
+        lambda: (
+            team_limits.test_a_gang_of_the_size_of_its_teams_limit_begins_beside_tasks_of_more_than_a_minute(
+                1
+            )
+        ),
+    ),
 ]
 
 
--- a/tests/simulation/test_team_limits.py
+++ b/tests/simulation/test_team_limits.py
@@ -17,7 +17,7 @@
 import pytest
 
 from standins import World, now
-from support.scenarios import finished, play_scenario, submit_jobs
+from support.scenarios import Script, finished, play_scenario, submit_jobs
 
 BEGIN_WITHIN_S = 240.0  # of the largest jobs
 STREAM_S = 400.0  # for so long small work of the same team comes, as much as its limit allows
@@ -33,25 +33,34 @@
         await anyio.sleep(5.0)
 
 
-@pytest.mark.parametrize("shape", ["sweep", "group"])
-@pytest.mark.parametrize("seed", [1, 2])
-def test_a_gang_of_the_size_of_its_teams_limit_begins_beside_a_stream_of_small_work(
-    shape: str, seed: int
-) -> None:
+def assert_the_gang_begins(stream: Script, seed: int, after_s: float, length_s: float) -> None:
+    """Play a stream of small work and, some time after it began, a gang of the limit's size."""
+
     async def script(world: World) -> None:
         async with anyio.create_task_group() as group:
-            group.start_soon(stream, world, shape)
-            await anyio.sleep(40)
+            group.start_soon(stream, world)
+            await anyio.sleep(after_s)
             submit_jobs(world, 1, pieces=6, cpus=4.0, crew="blue", shape="group", true_s=8.0)
         world.calm_at = now()
 
-    world = play_scenario(script, seed, STREAM_S + 320.0)
+    world = play_scenario(script, seed, length_s)
     begun = world.first_start.get("run-000000/0", float("inf"))
     assert begun - world.accepted_at["run-000000"] < BEGIN_WITHIN_S
     assert finished(world) == {}
     assert world.violations == []
 
 
+@pytest.mark.parametrize("shape", ["sweep", "group"])
+@pytest.mark.parametrize("seed", [1, 2])
+def test_a_gang_of_the_size_of_its_teams_limit_begins_beside_a_stream_of_small_work(
+    shape: str, seed: int
+) -> None:
+    async def small_work(world: World) -> None:
+        await stream(world, shape)
+
+    assert_the_gang_begins(small_work, seed, after_s=40, length_s=STREAM_S + 320.0)
+
+
 # Tasks for which the limit has to be withheld for longer than a minute, and that all end within the
 # 90 s for which other work of the team may wait beside room.
 LONG_TASK_S = 75.0
@@ -77,16 +86,6 @@
     How it came about: the limit was withheld for 60 s at a time. Tasks that started last before
     that ran on beyond it, and then what was free of the limit went to the next small tasks.
     """
-
-    async def script(world: World) -> None:
-        async with anyio.create_task_group() as group:
-            group.start_soon(stream_of_long_tasks, world)
-            await anyio.sleep(40 + LONG_TASK_S)
-            submit_jobs(world, 1, pieces=6, cpus=4.0, crew="blue", shape="group", true_s=8.0)
-        world.calm_at = now()
-
-    world = play_scenario(script, seed, STREAM_S + 600.0)
-    begun = world.first_start.get("run-000000/0", float("inf"))
-    assert begun - world.accepted_at["run-000000"] < BEGIN_WITHIN_S
-    assert finished(world) == {}
-    assert world.violations == []
+    assert_the_gang_begins(
+        stream_of_long_tasks, seed, after_s=40 + LONG_TASK_S, length_s=STREAM_S + 600.0
+    )
