--- a/review/standins/world.py
+++ b/review/standins/world.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import ctypes
 import functools
 import json
 import os
@@ -26,6 +27,7 @@
 
 ROOT = Path(__file__).resolve().parents[2]
 HELD, BROKEN, NOT_RUN = 0, 1, 2
+PR_SET_PDEATHSIG = 1
 BACK_AFTER_S = 3.0  # the platform starts a controller again so long after its end
 
 BUILDS = [
@@ -108,6 +110,11 @@
     } | fields
 
 
+def end_with_parent() -> None:
+    """In a new controller: have the system end it when the case itself is killed."""
+    ctypes.CDLL(None).prctl(PR_SET_PDEATHSIG, signal.SIGKILL)
+
+
 def free_ports(count: int) -> list[int]:
     """Draw loopback ports on which nothing listens now.
 
@@ -332,6 +339,7 @@
             cwd=ROOT,
             stderr=log,
             env=os.environ | {"LOG_LEVEL": os.environ.get("LOG_LEVEL", "info")},
+            preexec_fn=end_with_parent,
         )
         log.close()
         self.log("controller started", controller=name)
