Log the steps of the leader's passes, and slow passes

Each step is now logged at debug when it begins, and a pass of more than 1 s at info with the time of each step. The core gets the observer as an argument and reads no clock.

--- a/src/dapplewick/controller/leader_loop.py
+++ b/src/dapplewick/controller/leader_loop.py
@@ -13,6 +13,7 @@
 from dapplewick.controller.leader_writer import LeaderWriter
 from dapplewick.controller.owned_shards import OwnedShards
 from dapplewick.controller.partition_service_selector import PartitionServiceSelector
+from dapplewick.controller.pass_timer import PassTimer
 from dapplewick.controller.record_follower import RecordFollower
 from dapplewick.coordination.election import Election
 from dapplewick.coordination.identity import Identity
@@ -67,8 +68,12 @@
     now: Callable[[], Seconds]
     wall_time: Callable[[], Seconds]
     rng: random.Random
+    _pass_timer: PassTimer = field(init=False)
     _last_pass_duration_s: Seconds = field(default=0.0, init=False)
 
+    def __post_init__(self) -> None:
+        self._pass_timer = PassTimer(self.now)
+
     async def run(self) -> None:
         """Lead or campaign until cancelled; failed passes are logged."""
         while True:
@@ -146,7 +151,9 @@
             return
         await self._assign_shards(owner_reachability, epoch, now)
         self._apply_own_shard_statuses(planner, now)
-        changes = planner.plan(now, self.wall_time())
+        self._pass_timer.begin_pass()
+        changes = planner.plan(now, self.wall_time(), self._pass_timer.begin_step)
+        self._pass_timer.end_pass()
         self._last_pass_duration_s = self.now() - now
         await self.writer.write(epoch, now, changes)
 
--- a/src/dapplewick/core/leader/planner.py
+++ b/src/dapplewick/core/leader/planner.py
@@ -28,6 +28,7 @@
 from dapplewick.core.leader.machine_lifecycle import HeartbeatGap, MachineLifecycle
 from dapplewick.core.leader.machine_types import MachineTypeWriter
 from dapplewick.core.leader.observed_shard import ObservedShard, ObservedShards
+from dapplewick.core.leader.planning_steps import PlanningStep, StepObserver, ignore_step
 from dapplewick.core.leader.provisioner import Provisioner
 from dapplewick.core.leader.quotas import TeamQuotas
 from dapplewick.core.leader.reconciliation import JobReconciler
@@ -233,16 +234,20 @@
 
     # Planning pass
 
-    def plan(self, now: Seconds, wall_time: Seconds) -> list[ConditionalWrite]:
+    def plan(
+        self, now: Seconds, wall_time: Seconds, on_step: StepObserver = ignore_step
+    ) -> list[ConditionalWrite]:
         """Run one planning pass.
 
         Args:
             now: The monotonic clock, in seconds.
             wall_time: The wall clock, in seconds, which is compared with submission times.
+            on_step: Called when a step of the pass begins.
 
         Returns:
             The writes to make, by priority.
         """
+        on_step(PlanningStep.RECONCILE)
         self._drafts.clear()
         self.contacts.record_owners(now)
         self.contacts.check(now)
@@ -257,13 +262,17 @@
             self.partitions.update_starving_teams(
                 wall_time, (job for _, job in self._drafts.live_jobs())
             )
+        on_step(PlanningStep.COUNT_CAPACITY)
         shard_capacities = self._snapshot_builder.build(now, self._served_teams)
+        on_step(PlanningStep.PLACE_GANGS)
         self._gang_placer.place(wall_time, shard_capacities)
+        on_step(PlanningStep.ASSIGN_ARRAYS)
         pending = self._array_order.pending(wall_time)
         eligible = self._array_order.eligible(wall_time, pending)
         self._array_assigner.assign(
             shard_capacities, eligible, self._array_order.overdue(wall_time, eligible)
         )
+        on_step(PlanningStep.EXPLAIN_WAITS)
         self.wait_reasons.update(
             now,
             wall_time,
@@ -271,9 +280,11 @@
             self._provisioner,
             self._autoscaler.unmet,
         )
+        on_step(PlanningStep.SCALE)
         types = self._machine_type_writer.changes()
         requests = self._autoscaler.changes(now, wall_time, shard_capacities, pending)
         moves = self._partition_changes(now, wall_time)
+        on_step(PlanningStep.DRAFT_WRITES)
         # Machine records precede the removal of the provisioning request that created the machines.
         # The write budget cuts off the end of this list; if it kept the removal and cut off the
         # record, the machine would have neither and would only be discovered later.
