Count a machine's slots instead of listing them one by one

Cause: `MachineCapacity.slot_waits` took one slot after the other from a machine's resources until none fitted, and appended a time for each. Slots of no size always fit. `_add_slot_ends` had the same loop, `fit_reserved` one over the tasks, `_wait_s` looked at a machine once for each task, and idle slots were lists that named a machine once for each slot: up to a million for slots of no size. With small amounts the loops end, after as many rounds as slots fit.

Change: `slot_times` counts slots, with at most two entries for each end of a running task, whatever the amounts. Lists of machines have as many entries as the gang has tasks at most. All amounts that were accepted still are. One thing is told differently: slots that become idle with the end of one array task are one group, as those of one gang were; before, each was a group of its own.

--- a/src/dapplewick/core/leader/gang_placement.py
+++ b/src/dapplewick/core/leader/gang_placement.py
@@ -122,7 +122,7 @@
 def _wait_s(spec: JobSpec, slots: ChosenSlots) -> Seconds:
     """Return the time until the last of these machines has a slot."""
     longest_s = 0.0
-    for capacity in slots.capacities:
+    for capacity in dict.fromkeys(slots.capacities):
         wait = capacity.slot_wait(spec)
         if wait is not None:
             longest_s = max(
--- a/src/dapplewick/core/leader/machine_capacity.py
+++ b/src/dapplewick/core/leader/machine_capacity.py
@@ -3,9 +3,16 @@
 from __future__ import annotations
 
 from collections.abc import Iterable
-from typing import NamedTuple
 
 from dapplewick.core.demand import AcceleratorDemand, GangDemand
+from dapplewick.core.leader.slot_times import (
+    ExpectedEnd,
+    SlotEndCount,
+    SlotWait,
+    SlotWaitCount,
+    count_slot_ends,
+    count_slot_waits,
+)
 from dapplewick.core.priorities import NON_PREEMPTIBLE_PRIORITY
 from dapplewick.protocol.job_spec import JobSpec, PlacementKey
 from dapplewick.protocol.peers import MachineStatus
@@ -22,49 +29,6 @@
 RESOURCE_TOLERANCE = 1e-6  # compensates rounding errors in sums of resource amounts
 
 
-class ExpectedEnd(NamedTuple):
-    """The estimated end of a task on a machine, and the resources that it then releases.
-
-    Attributes:
-        at: The estimated time of the end, by the leader's monotonic clock.
-        resources: The resources that the task releases.
-        priority: The priority of the task's job.
-        group: The gang, whose tasks all end together; empty for an array task.
-    """
-
-    at: Seconds
-    resources: Resources
-    priority: int
-    group: str
-
-
-class SlotWait(NamedTuple):
-    """The time until a slot becomes idle.
-
-    Attributes:
-        without_preemption_s: The time if all running tasks run to their estimated end.
-        with_preemption_s: The time if tasks of lower priority are preempted.
-    """
-
-    without_preemption_s: Seconds
-    with_preemption_s: Seconds
-
-
-IDLE_NOW = SlotWait(0.0, 0.0)
-
-
-class SlotEnd(NamedTuple):
-    """The time until a slot becomes idle, and the group of tasks whose end makes it idle.
-
-    Attributes:
-        wait_s: The time until the slot is idle; 0 if it is idle now.
-        group: The group of tasks; empty if the slot is idle.
-    """
-
-    wait_s: Seconds
-    group: str
-
-
 class MachineCapacity:
     """One machine's capacity within a planning pass.
 
@@ -138,8 +102,8 @@
         self.gang_demand: GangDemand | None = None
         # Memo tables by the placement key of a job, valid until resources are reserved.
         self._idle_slots: dict[PlacementKey, int] = {}
-        self._slot_waits: dict[PlacementKey, list[Seconds]] = {}
-        self._slot_ends: dict[PlacementKey, list[SlotEnd]] = {}
+        self._slot_waits: dict[PlacementKey, list[SlotWaitCount]] = {}
+        self._slot_ends: dict[PlacementKey, list[SlotEndCount]] = {}
 
     def begin_pass(self, now: Seconds) -> None:
         """Reset the reservations and restrictions of the previous pass."""
@@ -199,70 +163,39 @@
         return count
 
     def slot_wait(self, spec: JobSpec) -> SlotWait | None:
-        """The time until a slot for a job is idle; None if no running task's end makes one idle.
-
-        Tasks with accelerators are ignored if the CPUs that they release are reserved; see
-        `_reserves_accelerators`.
-        """
-        resources, priority = spec.resources, spec.priority
-        free = free_preempting = self.usable_resources(spec)
-        if resources.fits_in(free):
-            return IDLE_NOW
-        without_preemption_s = -1.0
-        reserves_accelerators = self._reserves_accelerators(spec)
-        for end, freed, end_priority, _ in self.ends:
-            if reserves_accelerators and freed.gpus > 0:
-                continue
-            free = free.plus(freed)
-            if end_priority < priority:
-                free_preempting = free_preempting.plus(freed)
-            if without_preemption_s < 0.0 and resources.fits_in(free):
-                without_preemption_s = max(0.0, end - self.now)
-        if without_preemption_s < 0.0:
-            return None
-        return SlotWait(
-            without_preemption_s,
-            0.0 if resources.fits_in(free_preempting) else without_preemption_s,
-        )
+        """The time until a slot for a job is idle; None if no running task's end makes one idle."""
+        waits = self.slot_waits(spec)
+        return waits[0].wait if waits else None
 
-    def slot_waits(self, spec: JobSpec) -> list[Seconds]:
-        """The time until each slot for a job is idle, with preemption where that is earlier."""
+    def slot_waits(self, spec: JobSpec) -> list[SlotWaitCount]:
+        """The number of slots for a job by the time until they are idle, shortest wait first."""
         placement_key = spec.placement_key
         waits = self._slot_waits.get(placement_key)
         if waits is None:
-            waits = self._slot_waits[placement_key] = []
+            waits = []
             if self._may_ever_fit(spec):
-                free_before = self.free
-                while (wait := self.slot_wait(spec)) is not None:
-                    self.free = self.free.minus(spec.resources)
-                    waits.append(min(wait.without_preemption_s, wait.with_preemption_s))
-                self.free = free_before
+                free, ends = self.usable_resources(spec), self._usable_ends(spec)
+                waits = count_slot_waits(spec.resources, free, ends, spec.priority, self.now)
+            self._slot_waits[placement_key] = waits
         return waits
 
-    def slot_ends(self, spec: JobSpec) -> list[SlotEnd]:
-        """The idle time and group of each slot for a job, without preemption; see `SlotEnd`."""
+    def slot_ends(self, spec: JobSpec) -> list[SlotEndCount]:
+        """The number of slots for a job by the group whose end makes them idle, not preempting."""
         placement_key = spec.placement_key
         slots = self._slot_ends.get(placement_key)
         if slots is None:
-            slots = self._slot_ends[placement_key] = []
+            slots = []
             if self._may_ever_fit(spec):
-                self._add_slot_ends(spec, slots)
+                free, ends = self.usable_resources(spec), self._usable_ends(spec)
+                slots = count_slot_ends(spec.resources, free, ends, self.id, self.now)
+            self._slot_ends[placement_key] = slots
         return slots
 
-    def _add_slot_ends(self, spec: JobSpec, slots: list[SlotEnd]) -> None:
-        resources, free = spec.resources, self.usable_resources(spec)
-        count = resources.fit_count(free)
-        slots.extend([SlotEnd(0.0, "")] * count)
-        free = free.minus(resources.times(count))
-        reserves_accelerators = self._reserves_accelerators(spec)
-        for end in self.ends:
-            if reserves_accelerators and end.resources.gpus > 0:
-                continue
-            free = free.plus(end.resources)
-            while resources.fits_in(free):
-                free = free.minus(resources)
-                group = end.group or f"{self.id}/{len(slots)}"
-                slots.append(SlotEnd(max(0.0, end.at - self.now), group))
+    def _usable_ends(self, spec: JobSpec) -> list[ExpectedEnd]:
+        """The ends whose resources a job may use, without those reserved for accelerators."""
+        if self._reserves_accelerators(spec):
+            return [end for end in self.ends if end.resources.gpus <= 0]
+        return self.ends
 
     def _may_ever_fit(self, spec: JobSpec) -> bool:
         return self.max_cpus >= spec.cpus - RESOURCE_TOLERANCE and self.allows(spec)
--- a/src/dapplewick/core/leader/shard_capacity.py
+++ b/src/dapplewick/core/leader/shard_capacity.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import itertools
 import math
 from bisect import bisect_right
 from collections.abc import Iterable
@@ -18,30 +19,46 @@
 from dapplewick.types import Resources, Seconds, ShardName, zone_of
 
 
+class MachineSlots(NamedTuple):
+    """A number of slots of one machine."""
+
+    capacity: MachineCapacity
+    slots: int
+
+
 class EndGroup(NamedTuple):
-    """Slots that become idle together: those of one gang, or one slot of array tasks.
+    """Slots that become idle together, with the end of one gang or of one array task.
 
     Attributes:
         wait_s: The time until they are idle.
-        capacities: The machine of each slot; a machine is repeated for each of its slots.
+        slot_count: The number of slots, over all machines.
+        machines: The slots of each machine.
     """
 
     wait_s: Seconds
-    capacities: list[MachineCapacity]
+    slot_count: int
+    machines: list[MachineSlots]
 
 
 class SlotGroups(NamedTuple):
     """The slots of a shard for one job.
 
     Attributes:
-        idle: The machine of each idle slot; a machine is repeated for each of its slots.
+        idle: The idle slots of each machine.
         groups: The groups of busy slots.
     """
 
-    idle: list[MachineCapacity]
+    idle: list[MachineSlots]
     groups: list[EndGroup]
 
 
+class _WaitTotals(NamedTuple):
+    """The waits until slots are idle, ascending, and the number of slots up to each of them."""
+
+    waits_s: list[Seconds]
+    totals: list[int]
+
+
 class ShardCapacity:
     """One shard's capacity within a planning pass.
 
@@ -59,7 +76,7 @@
         self.open_capacities = [c for c in capacities if c.free.cpus > RESOURCE_TOLERANCE]
         # Memo tables by the placement key of a job, valid until resources are reserved here.
         self._idle_totals: dict[PlacementKey, int] = {}
-        self._waits: dict[PlacementKey, list[Seconds]] = {}
+        self._waits: dict[PlacementKey, _WaitTotals] = {}
         self._groups: dict[PlacementKey, SlotGroups] = {}
         self._idle_gang_slots: int | None = None
         self._lowest_priority: int | None = None
@@ -108,10 +125,20 @@
         placement_key = spec.placement_key
         waits = self._waits.get(placement_key)
         if waits is None:
-            waits = self._waits[placement_key] = sorted(
-                wait for capacity in self.capacities for wait in capacity.slot_waits(spec)
-            )
-        return bisect_right(waits, limit_s)
+            waits = self._waits[placement_key] = self._total_waits(spec)
+        position = bisect_right(waits.waits_s, limit_s)
+        return waits.totals[position - 1] if position else 0
+
+    def _total_waits(self, spec: JobSpec) -> _WaitTotals:
+        counts = sorted(
+            (wait.with_preemption_s, slots)
+            for capacity in self.capacities
+            for wait, slots in capacity.slot_waits(spec)
+        )
+        return _WaitTotals(
+            [wait_s for wait_s, _ in counts],
+            list(itertools.accumulate(slots for _, slots in counts)),
+        )
 
     def could_hold_all(self, spec: JobSpec) -> bool:
         """Whether all tasks of a gang would fit on this shard's machines if these were empty."""
@@ -129,17 +156,17 @@
         return slot_groups
 
     def _group_slots(self, spec: JobSpec) -> SlotGroups:
-        idle: list[MachineCapacity] = []
+        idle: list[MachineSlots] = []
         by_name: dict[str, EndGroup] = {}
         for capacity in self.capacities:
-            for wait_s, name in capacity.slot_ends(spec):
+            for wait_s, name, slots in capacity.slot_ends(spec):
                 if not name:
-                    idle.append(capacity)
+                    idle.append(MachineSlots(capacity, slots))
                     continue
-                group = by_name.get(name)
-                if group is None:
-                    group = by_name[name] = EndGroup(wait_s, [])
-                group.capacities.append(capacity)
+                # A gang's tasks all end at the same time: the wait on its first machine is kept.
+                group = by_name.get(name) or EndGroup(wait_s, 0, [])
+                group.machines.append(MachineSlots(capacity, slots))
+                by_name[name] = group._replace(slot_count=group.slot_count + slots)
         return SlotGroups(idle, list(by_name.values()))
 
     def set_demand(self, demand: AcceleratorDemand | None) -> None:
--- a/src/dapplewick/core/leader/slot_selection.py
+++ b/src/dapplewick/core/leader/slot_selection.py
@@ -6,7 +6,7 @@
 from typing import NamedTuple
 
 from dapplewick.core.leader.machine_capacity import BestFitKey, MachineCapacity, best_fit_key
-from dapplewick.core.leader.shard_capacity import EndGroup
+from dapplewick.core.leader.shard_capacity import EndGroup, MachineSlots
 from dapplewick.protocol.job_spec import JobSpec
 from dapplewick.types import Seconds
 
@@ -70,20 +70,16 @@
     chosen: list[MachineCapacity] = []
     preempt = False
     for option in options:
-        capacity = option.capacity
-        saved = capacity.free
-        while len(chosen) < count:
-            wait = capacity.slot_wait(spec)
-            if wait is None or min(wait.without_preemption_s, wait.with_preemption_s) > limit_s:
+        for wait, slots in option.capacity.slot_waits(spec):
+            missing = count - len(chosen)
+            if not missing or wait.with_preemption_s > limit_s:
                 break
             if (
                 wait.without_preemption_s > preemption_threshold_s
                 and wait.with_preemption_s < wait.without_preemption_s
             ):
                 preempt = True
-            capacity.reserve(spec.resources)
-            chosen.append(capacity)
-        capacity.free = saved
+            chosen.extend([option.capacity] * min(slots, missing))
         if len(chosen) == count:
             return ChosenSlots(chosen, preempt)
     return None
@@ -125,7 +121,7 @@
 
 
 def fit_behind(
-    idle: list[MachineCapacity], groups: list[EndGroup], count: int, limit_s: Seconds
+    idle: list[MachineSlots], groups: list[EndGroup], count: int, limit_s: Seconds
 ) -> list[MachineCapacity] | None:
     """Choose slots for a gang to reserve behind running gangs, or return None.
 
@@ -136,17 +132,29 @@
     enough = [
         group
         for group in groups
-        if len(group.capacities) >= count and group.wait_s <= ONE_GROUP_LIMIT_FACTOR * limit_s
+        if group.slot_count >= count and group.wait_s <= ONE_GROUP_LIMIT_FACTOR * limit_s
     ]
     if enough:
         # The smallest of these groups, so that larger groups stay available for larger gangs.
-        return min(enough, key=lambda g: (len(g.capacities), g.wait_s)).capacities[:count]
+        smallest = min(enough, key=lambda g: (g.slot_count, g.wait_s))
+        return _take_slots(smallest.machines, count)
     chosen: list[MachineCapacity] = []
-    for group in sorted(groups, key=lambda g: (-len(g.capacities), g.wait_s)):
+    idle_count = sum(machine.slots for machine in idle)
+    for group in sorted(groups, key=lambda g: (-g.slot_count, g.wait_s)):
         missing = count - len(chosen)
-        if missing <= len(idle):
+        if missing <= idle_count:
             break
         if group.wait_s <= limit_s:
-            chosen.extend(group.capacities[:missing])
-    chosen.extend(idle[: count - len(chosen)])
+            chosen.extend(_take_slots(group.machines, missing))
+    chosen.extend(_take_slots(idle, count - len(chosen)))
     return chosen if len(chosen) == count else None
+
+
+def _take_slots(machines: Iterable[MachineSlots], count: int) -> list[MachineCapacity]:
+    """Return the machines of the first `count` slots, or of all slots if there are fewer."""
+    taken: list[MachineCapacity] = []
+    for capacity, slots in machines:
+        if len(taken) >= count:
+            break
+        taken.extend([capacity] * min(slots, count - len(taken)))
+    return taken
--- a/src/dapplewick/types.py
+++ b/src/dapplewick/types.py
@@ -93,5 +93,12 @@
                 count = min(count, int((available + _ROUNDING_TOLERANCE) / need))
         return max(0, count)
 
+    def fitting_slots(self, capacity: Resources) -> int:
+        """Return how many slots of this size a capacity has; 0 if one would not fit there.
+
+        Unlike `fit_count`, it is also 0 if an amount that the slots do not need is overused.
+        """
+        return self.fit_count(capacity) if self.fits_in(capacity) else 0
+
 
 NO_RESOURCES = Resources(0.0, 0.0, 0.0)
--- a/tests/support/shard_bench.py
+++ b/tests/support/shard_bench.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 import sys
 from collections.abc import Callable, Set
 from typing import Any
@@ -194,13 +195,24 @@
     return [o.task for o in commands if o.kind == "start"]
 
 
-def calls(work: Callable[[], Any]) -> int:
-    """Count the function calls that some work makes."""
+class TooManyCallsError(AssertionError):
+    """Some work made more function calls than its bound; it may never have ended."""
+
+
+def calls(work: Callable[[], Any], limit: float = math.inf) -> int:
+    """Count the function calls that some work makes.
+
+    Raises:
+        TooManyCallsError: The work made more calls than the limit, and was stopped.
+    """
     count = 0
 
     def step(_frame: Any, event: str, _argument: Any) -> None:
         nonlocal count
         count += event in ("call", "c_call")
+        if count > limit:
+            sys.setprofile(None)
+            raise TooManyCallsError(f"more than {limit} calls")
 
     sys.setprofile(step)
     try:
--- a/tests/unit/test_waiting_gangs.py
+++ b/tests/unit/test_waiting_gangs.py
@@ -10,7 +10,7 @@
 from dapplewick.core.estimates import Estimates
 from dapplewick.core.leader.machine_capacity import MachineCapacity
 from dapplewick.core.leader.planner import LeaderPlanner
-from dapplewick.core.leader.shard_capacity import EndGroup, ShardCapacity
+from dapplewick.core.leader.shard_capacity import EndGroup, MachineSlots, ShardCapacity
 from dapplewick.core.leader.shard_reservation import (
     COOLDOWN_S,
     MAX_OVERDUE_S,
@@ -140,15 +140,20 @@
     When small gangs reserved slots behind the largest running gangs, no large gang found enough
     slots together: under half of the largest gangs started within four minutes.
     """
-    sixteen = EndGroup(10.0, [machine_capacity(f"a{n}", LARGE) for n in range(16)])
-    eight = EndGroup(30.0, [machine_capacity(f"b{n}", LARGE) for n in range(8)])
-    two = EndGroup(5.0, [machine_capacity(f"c{n}", LARGE) for n in range(2)])
+
+    def group(wait_s: float, size: int) -> EndGroup:
+        slots = [MachineSlots(machine_capacity(f"vm{n}", LARGE), 1) for n in range(size)]
+        return EndGroup(wait_s, size, slots)
+
+    sixteen, eight, two = group(10.0, 16), group(30.0, 8), group(5.0, 2)
     groups = [sixteen, eight, two]
     for count, expected in ((16, sixteen), (7, eight), (2, two)):
-        assert fit_behind([], groups, count, 20.0) == expected.capacities[:count]
+        capacities = [slots.capacity for slots in expected.machines[:count]]
+        assert fit_behind([], groups, count, 20.0) == capacities
     # A group that ends too late is not chosen, even if its size fits best.
-    late = EndGroup(20.0 * ONE_GROUP_LIMIT_FACTOR + 1.0, eight.capacities)
-    assert fit_behind([], [sixteen, late], 8, 20.0) == sixteen.capacities[:8]
+    late = eight._replace(wait_s=20.0 * ONE_GROUP_LIMIT_FACTOR + 1.0)
+    capacities = [slots.capacity for slots in sixteen.machines[:8]]
+    assert fit_behind([], [sixteen, late], 8, 20.0) == capacities
 
 
 def two_shards(machines: int) -> list[ShardCapacity]:
