Bound a shard's ticks and heartbeats for any number and size of tasks

Cause: costs of tasks times tasks. The usage of a machine was summed anew after each assignment; the resources of its reserved slots were summed for each of these slots, and the slots listed by each caller; replicas of a service were counted on each machine for each replica.

Change: usage and counts by job are added up as tasks are assigned; a reservation counts the tasks that are not launched, by machine; the last unqueued task is removed without a search. What remains is linear in the tasks, so one call inspects at most 12,000 machines to assign tasks, and a machine takes at most 256 tasks from queues with one heartbeat; the rest follows with the next tick or heartbeat.

Test: test_a_tick_and_a_heartbeat_have_a_bound_for_tasks_of_any_size.

--- a/src/dapplewick/core/shard/array_tasks.py
+++ b/src/dapplewick/core/shard/array_tasks.py
@@ -220,7 +220,7 @@
             slot.image = spec.image
             slot.holds_replica = spec.is_service
             self._images.add(machine, spec.image)
-        self._machines.record_slot_change(slot)
+        self._machines.record_assignment(slot, task)
 
     def assign_new_slot(self, now: Seconds, task: TaskRef, machine: Machine) -> None:
         """Create a slot in a machine's free capacity and assign a task to it."""
--- a/src/dapplewick/core/shard/backfill.py
+++ b/src/dapplewick/core/shard/backfill.py
@@ -37,17 +37,15 @@
         """Whether a task may start ahead of all gangs with reserved slots on this machine."""
         if spec.is_service:
             return False  # a replica does not end by itself
-        reservations = {
-            slot.job_id: slot.reservation for slot in self._reservations.slots_on(machine.id)
-        }
+        reservations = [gang.reservation for gang in self._reservations.waiting_on(machine.id)]
         # A gang that preempts starts once its preempted tasks have stopped. A task backfilled
         # ahead of it would be preempted with the next heartbeat and started again, repeatedly.
-        if any(reservation.ready or reservation.preempt for reservation in reservations.values()):
+        if any(reservation.ready or reservation.preempt for reservation in reservations):
             return False
         estimate_s = self._estimates.run_time(spec)
         return all(
             estimate_s <= self.remaining_wait(now, reservation) + self._threshold_s
-            for reservation in reservations.values()
+            for reservation in reservations
         )
 
     def remaining_wait(self, now: Seconds, reservation: GangReservation) -> Seconds:
--- a/src/dapplewick/core/shard/gang_reservations.py
+++ b/src/dapplewick/core/shard/gang_reservations.py
@@ -30,6 +30,14 @@
     task_index: int
 
 
+class ReservedSlots(NamedTuple):
+    """The number of slots of a machine that are reserved for a gang."""
+
+    job_id: JobId
+    reservation: GangReservation
+    slots: int
+
+
 class GangReservationTable:
     """The gang reservations of a shard, indexed by gang and by machine."""
 
@@ -71,8 +79,7 @@
             if failover:
                 # The previous owner may have sent the start commands. An attempt must not be
                 # started twice, so a task that is missing on its machine fails this attempt.
-                reservation.inherited = reservation.ready = True
-                reservation.launched_indices = set(placements)
+                reservation.inherit()
             self._replace(job_id, reservation)
         reservation.preempt = gang.preempt
         if not failover:
@@ -121,15 +128,28 @@
         """The reservations with slots on a machine, oldest first."""
         return self._by_machine.get(machine_id, _NO_RESERVATIONS)
 
-    def slots_on(self, machine_id: MachineId) -> list[ReservedSlot]:
-        """The reserved slots of a machine whose start command has not been sent."""
+    def waiting_on(self, machine_id: MachineId) -> list[ReservedSlots]:
+        """The gangs with reserved slots on a machine whose start command has not been sent.
+
+        They are counted, because a gang may have any number of slots on one machine.
+        """
         reservations = self._by_machine.get(machine_id)
         if not reservations:
             return []
         return [
-            ReservedSlot(job_id, reservation, index)
+            ReservedSlots(job_id, reservation, slots)
             for job_id, reservation in reservations.items()
-            if not reservation.failure_reason and self.is_active(job_id)
+            if (slots := reservation.unlaunched_on[machine_id])
+            and not reservation.failure_reason
+            and self.is_active(job_id)
+        ]
+
+    def ready_slots_on(self, machine_id: MachineId) -> list[ReservedSlot]:
+        """The reserved slots of a machine whose gang is ready and whose start was not sent."""
+        return [
+            ReservedSlot(job_id, reservation, index)
+            for job_id, reservation, _ in self.waiting_on(machine_id)
+            if reservation.ready
             for index in reservation.indices_on[machine_id]
             if index not in reservation.launched_indices
         ]
@@ -142,8 +162,8 @@
         if machine_id not in self._by_machine:
             return NO_RESOURCES
         resources = NO_RESOURCES
-        for slot in self.slots_on(machine_id):
-            resources = resources.plus(self._cache.jobs[slot.job_id].resources)
+        for job_id, _, slots in self.waiting_on(machine_id):
+            resources = resources.plus(self._cache.jobs[job_id].resources.times(slots))
         return resources
 
     def may_still_launch(self, machine_id: MachineId) -> bool:
@@ -201,8 +221,7 @@
                 (is_older or other.ready) and not other.failure_reason and self.is_active(other_id)
             ):
                 resources = self._cache.jobs[other_id].resources
-                count = sum(i not in other.launched_indices for i in other.indices_on[machine.id])
-                available = available.minus(resources.times(count))
+                available = available.minus(resources.times(other.unlaunched_on[machine.id]))
         return available
 
     def _is_leaving_shard(self, machine_id: MachineId) -> bool:
--- a/src/dapplewick/core/shard/heartbeats.py
+++ b/src/dapplewick/core/shard/heartbeats.py
@@ -168,7 +168,7 @@
             and reservation.attempt == item.attempt
             and reservation.placements.get(task.task_index) == machine.id
         ):
-            reservation.launched_indices.add(task.task_index)
+            reservation.record_launch(task.task_index)
             reservation.listed_indices.add(task.task_index)
 
     def record_missing(self, now: Seconds, machine: Machine, task: TaskRef, reason: str) -> None:
@@ -224,4 +224,4 @@
         if index in reservation.listed_indices or reservation.inherited or is_new_incarnation:
             reservation.failure_reason = "start lost"
         else:
-            reservation.launched_indices.discard(index)
+            reservation.record_lost_launch(index)
--- a/src/dapplewick/core/shard/joining.py
+++ b/src/dapplewick/core/shard/joining.py
@@ -23,6 +23,9 @@
 
 MAX_SAMPLED_MACHINES = 12  # machines compared when an array task joins
 MAX_QUEUE_LENGTH = 8  # array tasks that wait for one slot
+# Machines inspected in one call, after which the other tasks wait for the next tick. Users choose
+# how many tasks there are; without a limit, heartbeats would wait until all of them are assigned.
+MAX_INSPECTED_MACHINES = 12_000
 
 
 class TaskAssigner:
@@ -53,7 +56,10 @@
         self._random = generator
 
     def assign_unqueued(self, now: Seconds) -> None:
-        """Assign each unqueued array task; tasks without a suitable slot stay unqueued."""
+        """Assign unqueued array tasks, in order, until `MAX_INSPECTED_MACHINES` were inspected.
+
+        Tasks without a suitable slot stay unqueued, and so do those for the next call.
+        """
         unqueued = self._queues.unqueued
         if not unqueued:
             return
@@ -62,7 +68,11 @@
         unqueued.clear()
         unplaceable: set[PlacementKey] = set()
         eligible: dict[PlacementKey, list[Machine]] = {}
-        for task in waiting:
+        inspected = 0
+        for position, task in enumerate(waiting):
+            if inspected >= MAX_INSPECTED_MACHINES:
+                unqueued.extend(waiting[position:])
+                return
             array_task = self._tasks.get(task)
             if array_task is None or array_task.state != WAITING or array_task.slot is not None:
                 continue
@@ -74,6 +84,9 @@
             machines = eligible.get(spec.placement_key)
             if machines is None:
                 machines = eligible[spec.placement_key] = self._eligible_machines(spec, usable)
+            inspected += 1 + (
+                len(machines) if spec.is_service else min(len(machines), MAX_SAMPLED_MACHINES)
+            )
             if not self._join(now, task, array_task, spec, machines):
                 unplaceable.add(spec.placement_key)
                 unqueued.append(task)
--- a/src/dapplewick/core/shard/launches.py
+++ b/src/dapplewick/core/shard/launches.py
@@ -69,11 +69,10 @@
     def launch_gangs(self, now: Seconds, machine: Machine) -> list[Command]:
         """Start the tasks of ready gangs, whose slots are all idle."""
         commands = []
-        for job_id, reservation, index in self._reservations.slots_on(machine.id):
-            if reservation.ready:
-                reservation.launched_indices.add(index)
-                task = TaskRef(job_id, TaskIndex(index))
-                commands.append(self._start(now, machine, task, Attempt(reservation.attempt)))
+        for job_id, reservation, index in self._reservations.ready_slots_on(machine.id):
+            reservation.record_launch(index)
+            task = TaskRef(job_id, TaskIndex(index))
+            commands.append(self._start(now, machine, task, Attempt(reservation.attempt)))
         return commands
 
     def _fill_from_queues(self, now: Seconds, machine: Machine) -> None:
--- a/src/dapplewick/core/shard/machines.py
+++ b/src/dapplewick/core/shard/machines.py
@@ -5,7 +5,7 @@
 from dapplewick.core.shard.changes import ChangeLog
 from dapplewick.core.shard.state import Machine, Slot
 from dapplewick.storage.watch_cache import WatchCache
-from dapplewick.types import MachineId, Seconds
+from dapplewick.types import MachineId, Seconds, TaskRef
 
 
 class MachineTable:
@@ -31,7 +31,7 @@
 
     def record_change(self, machine: Machine) -> None:
         """Record a change of the tasks or slots of a machine."""
-        machine.cached_usage = None
+        machine.cached_usage = machine.cached_task_counts = None
         self._changes.record_machine(machine.id)
         self._changes.dirty = True
 
@@ -40,3 +40,19 @@
         machine = self.by_id.get(slot.machine)
         if machine is not None:
             self.record_change(machine)
+
+    def record_assignment(self, slot: Slot, task: TaskRef) -> None:
+        """Record that a task was assigned to a slot that had none.
+
+        The usage and the counts are added up, not computed anew for each of many tasks.
+        """
+        machine = self.by_id.get(slot.machine)
+        if machine is None:
+            return
+        usage, task_counts = machine.cached_usage, machine.cached_task_counts
+        self.record_change(machine)
+        if usage is not None and task not in machine.task_attempts:
+            machine.cached_usage = usage.plus(slot.resources)
+        if task_counts is not None:
+            task_counts[task.job] += 1
+            machine.cached_task_counts = task_counts
--- a/src/dapplewick/core/shard/preemption.py
+++ b/src/dapplewick/core/shard/preemption.py
@@ -72,11 +72,11 @@
     def preempted_on(self, machine: Machine) -> set[TaskRef]:
         """The array tasks to preempt on a machine."""
         preempted: set[TaskRef] = set()
-        for job_id, reservation, _ in self._reservations.slots_on(machine.id):
+        reserved = self._reservations.reserved_resources(machine.id)
+        for job_id, reservation, _ in self._reservations.waiting_on(machine.id):
             job = self._cache.jobs.get(job_id)
             if not reservation.preempt or reservation.ready or job is None:
                 continue
-            reserved = self._reservations.reserved_resources(machine.id)
             preempt_until_fits(machine, reserved, job.spec.priority, preempted)
         self._preempt_for_replicas(machine, preempted)
         return preempted
--- a/src/dapplewick/core/shard/queues.py
+++ b/src/dapplewick/core/shard/queues.py
@@ -39,6 +39,17 @@
         slot.queue.remove(task)
         self._decrement_count(slot, task)
 
+    def remove_unqueued(self, task: TaskRef) -> None:
+        """Remove an unqueued task; the last one at once, without a search.
+
+        Raises:
+            ValueError: The task is not unqueued.
+        """
+        if self.unqueued and self.unqueued[-1] == task:
+            self.unqueued.pop()
+        else:
+            self.unqueued.remove(task)
+
     def pop_all(self, slot: Slot) -> list[TaskRef]:
         """Remove and return all array tasks of a slot's queue, in queue order."""
         tasks = list(slot.queue)
--- a/src/dapplewick/core/shard/replicas.py
+++ b/src/dapplewick/core/shard/replicas.py
@@ -103,11 +103,7 @@
         self, now: Seconds, spec: JobSpec, job_id: JobId, machine: Machine
     ) -> Seconds:
         """The expected start-up delay on this machine plus placement penalties, in seconds."""
-        same_service = sum(task.job == job_id for task in machine.task_attempts)
-        same_service += sum(
-            s.current is not None and s.current.job == job_id for s in machine.slots
-        )
-        cost_s = SAME_SERVICE_COST_S * same_service + SPOT_COST_S * machine.spot
+        cost_s = SAME_SERVICE_COST_S * machine.task_counts()[job_id] + SPOT_COST_S * machine.spot
         cost_s += ACCELERATOR_COST_S * (machine.capacity.gpus > 0)
         if spec.image not in machine.images:
             machine_type = self._cache.types.get(machine.type)
--- a/src/dapplewick/core/shard/scheduler.py
+++ b/src/dapplewick/core/shard/scheduler.py
@@ -350,7 +350,7 @@
         # A machine that has just lost all its tasks, for example because its lease ended in an
         # outage, is not idle yet.
         has_lost_all = had_tasks and not machine.task_attempts
-        if is_busy or has_lost_all or self._gang_reservations.slots_on(machine.id):
+        if is_busy or has_lost_all or self._gang_reservations.waiting_on(machine.id):
             machine.idle_since = now
 
     # Time
--- a/src/dapplewick/core/shard/state.py
+++ b/src/dapplewick/core/shard/state.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import enum
-from collections import deque
+from collections import Counter, deque
 from typing import Final
 
 from dapplewick.protocol.job_spec import JobSpec
@@ -131,6 +131,7 @@
 
     __slots__ = (
         "address",
+        "cached_task_counts",
         "cached_usage",
         "capacity",
         "draining",
@@ -184,7 +185,9 @@
         # Expensive and with replicas only, which fit on other machines and should move there.
         self.draining = False
         self.slow = False  # its tasks take much longer than on other machines
-        self.cached_usage: Resources | None = None  # None: must be recomputed
+        # Derived from the attempts and slots; None: must be recomputed.
+        self.cached_usage: Resources | None = None
+        self.cached_task_counts: Counter[JobId] | None = None
         self.was_usable = False  # result of the last check whether it may get new work
 
     def usage(self) -> Resources:
@@ -208,6 +211,15 @@
                 ram_gb += slot.resources.ram_gb
         return Resources(cpus, gpus, ram_gb)
 
+    def task_counts(self) -> Counter[JobId]:
+        """The number of task attempts and current tasks of slots on the machine, by job."""
+        if self.cached_task_counts is None:
+            self.cached_task_counts = Counter(task.job for task in self.task_attempts)
+            self.cached_task_counts.update(
+                slot.current.job for slot in self.slots if slot.current is not None
+            )
+        return self.cached_task_counts
+
     def free(self) -> Resources:
         """The free capacity."""
         return self.capacity.minus(self.usage())
@@ -254,6 +266,7 @@
         "preempt",
         "ready",
         "remaining_wait_s",
+        "unlaunched_on",
         "wait_computed_at",
     )
 
@@ -263,6 +276,8 @@
         self.indices_on: dict[MachineId, list[int]] = {}  # task indices by machine
         for index, machine_id in placements.items():
             self.indices_on.setdefault(machine_id, []).append(index)
+        # The number of tasks by machine whose start was not sent: the slots still reserved there.
+        self.unlaunched_on = {machine: len(indices) for machine, indices in self.indices_on.items()}
         self.inherited = False  # the shard's previous owner may have started the attempt
         self.ready = False  # all slots are idle, so all starts may be sent
         self.launched_indices: set[int] = set()  # tasks whose start was sent
@@ -272,3 +287,21 @@
         self.created_at = now
         self.wait_computed_at = -1.0  # when `remaining_wait_s` was computed
         self.remaining_wait_s = 0.0  # estimated time until all slots are idle
+
+    def record_launch(self, index: int) -> None:
+        """Record that the start of a task was sent."""
+        if index not in self.launched_indices:
+            self.launched_indices.add(index)
+            self.unlaunched_on[self.placements[index]] -= 1
+
+    def record_lost_launch(self, index: int) -> None:
+        """Record that the start of a task did not arrive, so that it must be sent again."""
+        if index in self.launched_indices:
+            self.launched_indices.remove(index)
+            self.unlaunched_on[self.placements[index]] += 1
+
+    def inherit(self) -> None:
+        """Record that a previous owner of the shard may have started all tasks."""
+        self.inherited = self.ready = True
+        self.launched_indices = set(self.placements)
+        self.unlaunched_on = dict.fromkeys(self.indices_on, 0)
--- a/src/dapplewick/core/shard/work_stealing.py
+++ b/src/dapplewick/core/shard/work_stealing.py
@@ -15,6 +15,9 @@
 from dapplewick.types import JobId, Seconds, TaskRef
 
 MIN_FREE_CPUS = 1e-6  # below this free capacity, no task fits on a machine
+# Tasks that a machine takes with one heartbeat; it may take more with the next. Any number of tasks
+# fits on a machine if they require little or nothing.
+MAX_STOLEN_TASKS = 256
 
 
 class WorkStealer:
@@ -28,9 +31,11 @@
         self._candidates = candidates
 
     def steal(self, now: Seconds, machine: Machine) -> None:
-        """Create slots on a machine for waiting tasks until no more of them fit."""
+        """Create slots on a machine for up to `MAX_STOLEN_TASKS` waiting tasks that fit."""
         fitting: Iterable[JobId] = self._queues.waiting_jobs()
-        while machine.free().cpus > MIN_FREE_CPUS:
+        for _ in range(MAX_STOLEN_TASKS):
+            if machine.free().cpus <= MIN_FREE_CPUS:
+                return
             fits = fitting = self._candidates.fitting_jobs(now, machine, fitting)
             if not fits:
                 return
@@ -51,7 +56,7 @@
             if task is None:
                 continue
             if source is None:
-                self._queues.unqueued.remove(task)
+                self._queues.remove_unqueued(task)
             else:
                 self._queues.remove(source, task)
             return task
--- a/tests/unit/test_pass_bounds.py
+++ b/tests/unit/test_pass_bounds.py
@@ -1,17 +1,22 @@
-"""The cost of planning work whose tasks are of any size and number."""
+"""The cost of planning and starting work whose tasks are of any size and number."""
 
 from __future__ import annotations
 
+import functools
+import math
+
 import pytest
-from hypothesis import given, settings
+from hypothesis import Phase, example, given, settings
 from hypothesis import strategies as st
 from msgspec.structs import replace
 
+from dapplewick.core.shard.joining import MAX_INSPECTED_MACHINES
+from dapplewick.core.shard.work_stealing import MAX_STOLEN_TASKS
 from dapplewick.protocol.job_spec import JobSpec
 from dapplewick.protocol.users import MAX_TASKS
 from dapplewick.storage.job_records import JobRecord
 from dapplewick.storage.keys import JOBS
-from dapplewick.types import JobId
+from dapplewick.types import JobId, MachineId
 from support.shard_bench import Bench, busy_shard, calls, leader_of, spec, starts
 
 MACHINES = 40
@@ -28,9 +33,13 @@
 TASK_COUNTS = st.one_of(st.integers(1, 50), st.sampled_from([1000, MAX_TASKS]))
 
 
-def full_shard_with(job: JobSpec) -> Bench:
-    """A shard whose machines are all busy, and a job that no controller has planned yet."""
-    bench = busy_shard(MACHINES)
+def shard_with(job: JobSpec, full: bool = True) -> Bench:
+    """A shard whose machines are all busy or all idle, and a job that is not planned yet."""
+    bench = busy_shard(MACHINES) if full else Bench(MACHINES)
+    if not full:
+        for name in bench.names:
+            bench.heartbeat(name, 2.5)
+        bench.scheduler.tick(2.6)
     bench.put(JOBS + "run-new", JobRecord(job, 3.0).dump())
     return bench
 
@@ -50,7 +59,7 @@
 @pytest.mark.parametrize("priority", [1, 2])
 def test_a_gang_that_requires_nothing_starts_while_all_machines_are_full(priority: int) -> None:
     """Guards against a pass without an end, which hung one leader after the other."""
-    bench = full_shard_with(replace(GANG_THAT_REQUIRES_NOTHING, priority=priority))
+    bench = shard_with(replace(GANG_THAT_REQUIRES_NOTHING, priority=priority))
     plan(bench, MACHINES * CALLS_PER_MACHINE)
     assert bench.cache.jobs[JobId("run-new")].gang is not None
     started = set()
@@ -69,7 +78,7 @@
     priority=st.integers(0, 3),
     shape=st.sampled_from(["array", "gang", "service"]),
 )
-@settings(max_examples=60, deadline=None, derandomize=True)
+@settings(max_examples=60, deadline=None, derandomize=True, phases=(Phase.explicit, Phase.generate))
 def test_a_pass_has_a_bound_for_tasks_of_any_size(
     cpus: float, ram_gb: float, task_count: int, priority: int, shape: str
 ) -> None:
@@ -80,4 +89,41 @@
         priority=priority,
         is_service=shape == "service",
     )
-    plan(full_shard_with(job), MACHINES * CALLS_PER_MACHINE + task_count * CALLS_PER_TASK)
+    plan(shard_with(job), MACHINES * CALLS_PER_MACHINE + task_count * CALLS_PER_TASK)
+
+
+# Calls that a tick or a heartbeat may make for each machine or task that it may inspect.
+CALLS_PER_STEP = 30
+
+
+@given(
+    cpus=AMOUNTS,
+    ram_gb=AMOUNTS,
+    task_count=TASK_COUNTS,
+    priority=st.integers(0, 3),
+    shape=st.sampled_from(["array", "gang", "service"]),
+    full=st.booleans(),
+)
+@example(1e-7, 0.0, MAX_TASKS, 2, "gang", True)
+@example(0.0, 0.0, MAX_TASKS, 1, "array", False)
+@example(0.0, 0.0, MAX_TASKS, 1, "service", False)
+@settings(max_examples=40, deadline=None, derandomize=True, phases=(Phase.explicit, Phase.generate))
+def test_a_tick_and_a_heartbeat_have_a_bound_for_tasks_of_any_size(
+    cpus: float, ram_gb: float, task_count: int, priority: int, shape: str, full: bool
+) -> None:
+    """Guards against costs of tasks times tasks in a shard, which no machine was answered for."""
+    job = replace(
+        spec(task_count, cpus, 30.0, is_gang=shape == "gang"),
+        ram_gb=ram_gb,
+        priority=priority,
+        is_service=shape == "service",
+    )
+    bench = shard_with(job, full)
+    plan(bench, math.inf)
+    limit = CALLS_PER_STEP * (MAX_INSPECTED_MACHINES + task_count)
+    calls(lambda: bench.scheduler.tick(3.5), limit)
+    limit = CALLS_PER_STEP * (MACHINES * MAX_STOLEN_TASKS + task_count)
+    gang = bench.cache.jobs[JobId("run-new")].gang
+    names = [MachineId(machine) for _, machine in gang.placements] if gang else bench.names
+    for name in list(dict.fromkeys(names))[:3]:
+        calls(functools.partial(bench.heartbeat, name, 4.0), limit)
