Refuse sets of tasks beyond any job's, and join the pieces that are there

Found in looking for loops whose length is an amount that somebody else writes. `unpack` built the set that a record's ranges name, whatever their ends: each controller that reads "0-" would end for its memory. The pieces of a gang's placement were asked for one number after the other, up to the count in the record. No such record was seen: only controllers write them.

--- a/src/dapplewick/storage/job_assembly.py
+++ b/src/dapplewick/storage/job_assembly.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from operator import itemgetter
 from typing import Any
 
 import msgspec
@@ -145,9 +146,8 @@
         if job.gang is None:
             return
         placements: list[tuple[str, str]] = []
-        for number in range(job.gang.placement_keys):
-            piece = pieces.get(number)
-            if piece is not None and piece.attempt == job.gang.attempt:
+        for number, piece in sorted(pieces.items(), key=itemgetter(0)):
+            if number < job.gang.placement_keys and piece.attempt == job.gang.attempt:
                 placements += piece.placements
         job.gang = msgspec.structs.replace(job.gang, placements=placements)
 
--- a/src/dapplewick/storage/ranges.py
+++ b/src/dapplewick/storage/ranges.py
@@ -4,6 +4,8 @@
 
 from collections.abc import Iterable
 
+from dapplewick.protocol.users import MAX_TASKS
+
 
 def pack(numbers: Iterable[int]) -> str:
     """Encode a set of non-negative numbers as ranges in ascending order."""
@@ -25,10 +27,13 @@
     """Decode a set of numbers that `pack` encoded.
 
     Raises:
-        ValueError: the text is malformed.
+        ValueError: the text is malformed, or contains a number that no task has.
     """
     numbers: set[int] = set()
     for entry in text.split(",") if text else ():
         low, _, high = entry.partition("-")
-        numbers.update(range(int(low), int(high or low) + 1))
+        last = int(high or low)
+        if last >= MAX_TASKS:
+            raise ValueError(f"{entry}: no job has so many tasks")
+        numbers.update(range(int(low), last + 1))
     return numbers
--- a/tests/unit/test_watch_cache.py
+++ b/tests/unit/test_watch_cache.py
@@ -7,6 +7,7 @@
 
 from typing import Any
 
+import pytest
 from hypothesis import HealthCheck, settings
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
@@ -17,6 +18,7 @@
 from dapplewick.storage.keys import JOBS, PROVISIONING_REQUESTS
 from dapplewick.storage.watch_cache import WatchCache
 from dapplewick.types import JobId
+from support.shard_bench import calls
 
 JOB_IDS = [JobId("run-1"), JobId("run-2"), JobId("run-3")]
 PROVISIONING_REQUEST_KEYS = [PROVISIONING_REQUESTS + "x", PROVISIONING_REQUESTS + "y"]
@@ -243,3 +245,14 @@
     )
     cache.apply_events([put, removal, later_put], 3)
     assert key not in cache.versions
+
+
+@pytest.mark.parametrize(
+    "field",
+    [{"done": "0-1000000"}, {"gang": {"attempt": 7, "places": [], "shares": 1_000_000}}],
+)
+def test_a_record_with_an_absurd_count_costs_no_more_than_any_other(field: dict[str, Any]) -> None:
+    """Guards against a loop as long as a number in a record, which hangs every controller."""
+    cache, key = WatchCache(), JOBS + "run-1"
+    calls(lambda: cache.put(key, job_value(OPEN) | field, 1), 10_000)
+    assert len(cache.jobs.get(JobId("run-1"), JobRecord(SPEC, 1.0)).done) == 0
