--- a/tests/unit/test_pass_bounds.py
+++ b/tests/unit/test_pass_bounds.py
@@ -33,6 +33,15 @@
 TASK_COUNTS = st.one_of(st.integers(1, 50), st.sampled_from([1000, MAX_TASKS]))
 
 
+def drawn_job(cpus: float, ram_gb: float, task_count: int, priority: int, shape: str) -> JobSpec:
+    return replace(
+        spec(task_count, cpus, 30.0, is_gang=shape == "gang"),
+        ram_gb=ram_gb,
+        priority=priority,
+        is_service=shape == "service",
+    )
+
+
 def shard_with(job: JobSpec, full: bool = True) -> Bench:
     """A shard whose machines are all busy or all idle, and a job that is not planned yet."""
     bench = busy_shard(MACHINES) if full else Bench(MACHINES)
@@ -83,12 +92,7 @@
     cpus: float, ram_gb: float, task_count: int, priority: int, shape: str
 ) -> None:
     """Guards against loops over slots: their number follows from amounts that users choose."""
-    job = replace(
-        spec(task_count, cpus, 30.0, is_gang=shape == "gang"),
-        ram_gb=ram_gb,
-        priority=priority,
-        is_service=shape == "service",
-    )
+    job = drawn_job(cpus, ram_gb, task_count, priority, shape)
     plan(shard_with(job), MACHINES * CALLS_PER_MACHINE + task_count * CALLS_PER_TASK)
 
 
@@ -112,12 +116,7 @@
     cpus: float, ram_gb: float, task_count: int, priority: int, shape: str, full: bool
 ) -> None:
     """Guards against costs of tasks times tasks in a shard, which no machine was answered for."""
-    job = replace(
-        spec(task_count, cpus, 30.0, is_gang=shape == "gang"),
-        ram_gb=ram_gb,
-        priority=priority,
-        is_service=shape == "service",
-    )
+    job = drawn_job(cpus, ram_gb, task_count, priority, shape)
     bench = shard_with(job, full)
     plan(bench, math.inf)
     limit = CALLS_PER_STEP * (MAX_INSPECTED_MACHINES + task_count)
