--- a/tests/unit/test_pass_bounds.py
+++ b/tests/unit/test_pass_bounds.py
@@ -24,14 +24,6 @@
 CALLS_PER_MACHINE, CALLS_PER_TASK = 400, 25
 GANG_THAT_REQUIRES_NOTHING = replace(spec(2, 0.0, 150.0, is_gang=True), ram_gb=0.0)
 
-# What users may ask for: nothing, less than any tolerance, small, usual, and all of a machine.
-AMOUNTS = st.one_of(
-    st.sampled_from([0.0, 5e-324, 1e-9, 1e-6, 1.0, 4.0]),
-    st.floats(0.0, 4.0, allow_subnormal=False),
-    st.floats(0.0, 0.01, allow_subnormal=False),
-)
-TASK_COUNTS = st.one_of(st.integers(1, 50), st.sampled_from([1000, MAX_TASKS]))
-
 
 def drawn_job(cpus: float, ram_gb: float, task_count: int, priority: int, shape: str) -> JobSpec:
     return replace(
@@ -42,6 +34,24 @@
     )
 
 
+# What users may ask for: nothing, less than any tolerance, small, usual, and all of a machine.
+AMOUNTS = st.one_of(
+    st.sampled_from([0.0, 5e-324, 1e-9, 1e-6, 1.0, 4.0]),
+    st.floats(0.0, 4.0, allow_subnormal=False),
+    st.floats(0.0, 0.01, allow_subnormal=False),
+)
+TASK_COUNTS = st.one_of(st.integers(1, 50), st.sampled_from([1000, MAX_TASKS]))
+JOBS_OF_ANY_SIZE = st.builds(
+    drawn_job,
+    AMOUNTS,
+    AMOUNTS,
+    TASK_COUNTS,
+    st.integers(0, 3),
+    st.sampled_from(["array", "gang", "service"]),
+)
+ONLY_DRAW = settings(deadline=None, derandomize=True, phases=(Phase.explicit, Phase.generate))
+
+
 def shard_with(job: JobSpec, full: bool = True) -> Bench:
     """A shard whose machines are all busy or all idle, and a job that is not planned yet."""
     bench = busy_shard(MACHINES) if full else Bench(MACHINES)
@@ -80,48 +90,31 @@
     assert {task.task_index for task in started if task.job == "run-new"} == {0, 1}
 
 
-@given(
-    cpus=AMOUNTS,
-    ram_gb=AMOUNTS,
-    task_count=TASK_COUNTS,
-    priority=st.integers(0, 3),
-    shape=st.sampled_from(["array", "gang", "service"]),
-)
-@settings(max_examples=60, deadline=None, derandomize=True, phases=(Phase.explicit, Phase.generate))
-def test_a_pass_has_a_bound_for_tasks_of_any_size(
-    cpus: float, ram_gb: float, task_count: int, priority: int, shape: str
-) -> None:
+@given(JOBS_OF_ANY_SIZE)
+@settings(ONLY_DRAW, max_examples=60)
+def test_a_pass_has_a_bound_for_tasks_of_any_size(job: JobSpec) -> None:
     """Guards against loops over slots: their number follows from amounts that users choose."""
-    job = drawn_job(cpus, ram_gb, task_count, priority, shape)
-    plan(shard_with(job), MACHINES * CALLS_PER_MACHINE + task_count * CALLS_PER_TASK)
+    plan(shard_with(job), MACHINES * CALLS_PER_MACHINE + job.task_count * CALLS_PER_TASK)
 
 
 # Calls that a tick or a heartbeat may make for each machine or task that it may inspect.
 CALLS_PER_STEP = 30
 
 
-@given(
-    cpus=AMOUNTS,
-    ram_gb=AMOUNTS,
-    task_count=TASK_COUNTS,
-    priority=st.integers(0, 3),
-    shape=st.sampled_from(["array", "gang", "service"]),
-    full=st.booleans(),
-)
-@example(1e-7, 0.0, MAX_TASKS, 2, "gang", True)
-@example(0.0, 0.0, MAX_TASKS, 1, "array", False)
-@example(0.0, 0.0, MAX_TASKS, 1, "service", False)
-@settings(max_examples=40, deadline=None, derandomize=True, phases=(Phase.explicit, Phase.generate))
+@given(JOBS_OF_ANY_SIZE, st.booleans())
+@example(drawn_job(1e-7, 0.0, MAX_TASKS, 2, "gang"), True)
+@example(drawn_job(0.0, 0.0, MAX_TASKS, 1, "array"), False)
+@example(drawn_job(0.0, 0.0, MAX_TASKS, 1, "service"), False)
+@settings(ONLY_DRAW, max_examples=40)
 def test_a_tick_and_a_heartbeat_have_a_bound_for_tasks_of_any_size(
-    cpus: float, ram_gb: float, task_count: int, priority: int, shape: str, full: bool
+    job: JobSpec, full: bool
 ) -> None:
     """Guards against costs of tasks times tasks in a shard, which no machine was answered for."""
-    job = drawn_job(cpus, ram_gb, task_count, priority, shape)
     bench = shard_with(job, full)
     plan(bench, math.inf)
-    limit = CALLS_PER_STEP * (MAX_INSPECTED_MACHINES + task_count)
+    limit = CALLS_PER_STEP * (MAX_INSPECTED_MACHINES + job.task_count)
     calls(lambda: bench.scheduler.tick(3.5), limit)
-    limit = CALLS_PER_STEP * (MACHINES * MAX_STOLEN_TASKS + task_count)
+    limit = CALLS_PER_STEP * (MACHINES * MAX_STOLEN_TASKS + job.task_count)
     gang = bench.cache.jobs[JobId("run-new")].gang
     names = [MachineId(machine) for _, machine in gang.placements] if gang else bench.names
     for name in list(dict.fromkeys(names))[:3]:
