--- a/src/dapplewick/core/leader/slot_times.py
+++ b/src/dapplewick/core/leader/slot_times.py
@@ -1,8 +1,8 @@
 """When the slots of a machine become idle, as counts of slots with the same time.
 
 The number of slots of a machine follows from the amounts that users ask for, and has no bound: any
-number of tasks that require nothing fit on a machine. The results therefore have one entry for each
-end of a running task at most, with a count, and never one entry for each slot.
+number of tasks that require nothing fit on a machine. The results therefore have at most two
+entries, with a count, for each end of a running task, and never one entry for each slot.
 """
 
 from __future__ import annotations
